Whole path on the users' platform, thin: store, schedule, leader, adapter

Change: a schedule of steps and tasks (pure), a leader that hears workers and gives orders under a token, an intake whose one durable write accepts a job, and platform/ that translates. Ruled out: a write for each start, since the store takes 400 a second and 140 tasks start.

--- a/internal/connection/message/message.go
+++ b/internal/connection/message/message.go
@@ -33,6 +33,8 @@
 	KindStateGive
 	KindJobHint
 	KindBook
+	KindQuestion
+	KindAnswer
 )
 
 // Envelope is one message.
@@ -174,6 +176,23 @@
 	Jobs []string `cbor:"1,keyasint"`
 }
 
+// Question asks the leader about a job or a queue.
+type Question struct {
+	// Number is echoed by the Answer.
+	Number uint64 `cbor:"1,keyasint"`
+	Job    string `cbor:"2,keyasint,omitempty"`
+	Queue  string `cbor:"3,keyasint,omitempty"`
+}
+
+// Answer is the leader's word.
+type Answer struct {
+	Number uint64 `cbor:"1,keyasint"`
+	// Known is false if the host asked does not lead or cannot tell.
+	Known   bool  `cbor:"2,keyasint,omitempty"`
+	State   uint8 `cbor:"3,keyasint,omitempty"`
+	Pending int   `cbor:"4,keyasint,omitempty"`
+}
+
 var (
 	// ErrMalformed marks bytes that are not a message.
 	ErrMalformed = errors.New("malformed message")
--- a/internal/process/command/root.go
+++ b/internal/process/command/root.go
@@ -58,6 +58,7 @@
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			s.serve(),
+			s.platform(),
 			s.release(),
 			s.job(),
 			s.ledger(),
--- /dev/null
+++ b/internal/process/schedule/choose.go
@@ -0,0 +1,177 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// choose picks the worker for a task: where its data is, then the one that is
+// left with the least room, so that large tasks still find a place. Tasks that
+// serve users are spread instead, and fillers go where most is left unused.
+func (b *Board) choose(step *stepState, t *task, pool []*workerState, now time.Time) *workerState {
+	var best *workerState
+	var bestScore float64
+	for _, w := range pool {
+		if !b.fits(w, step, t) {
+			continue
+		}
+		score := b.score(w, step, t)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (b *Board) fits(w *workerState, step *stepState, t *task) bool {
+	spec := step.spec
+	if !roomOf(spec).Within(w.Capacity.Minus(w.used)) {
+		return false
+	}
+	if spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
+		return false
+	}
+	if spec.Filler && b.unused(w) < spec.Size.MilliCores {
+		return false
+	}
+	return spec.Spread == 0 || b.onWorker(w, t.key) < spec.Spread
+}
+
+// onWorker counts the runs of the key's step and occurrence on a worker.
+func (b *Board) onWorker(w *workerState, key work.TaskKey) int {
+	count := 0
+	for other := range w.claims {
+		if other.Job == key.Job && other.Step == key.Step && other.Occurrence == key.Occurrence {
+			count++
+		}
+	}
+	return count
+}
+
+// Weights of the choice. Each is far above the next, so that they decide in
+// this order: not where it failed, near the data, then room.
+const (
+	weightAvoid  = 100.0
+	weightNear   = 10.0
+	weightHealth = 20.0
+)
+
+func (b *Board) score(w *workerState, step *stepState, t *task) float64 {
+	score := 0.0
+	if t.avoid == w.ID {
+		score -= weightAvoid
+	}
+	if w.health.suspect() {
+		score -= weightHealth
+	}
+	if step.spec.Rack != "" && slices.Contains(w.Labels, step.spec.Rack) {
+		score += weightNear
+	}
+	free := w.Capacity.Minus(w.used)
+	left := ratio(free.MilliCores, w.Capacity.MilliCores)
+	switch {
+	case step.spec.Filler:
+		return score + ratio(b.unused(w), w.Capacity.MilliCores) - b.tailsNear(w)
+	case step.spec.TailTarget > 0:
+		return score + left
+	}
+	return score - left
+}
+
+func ratio(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// servingShare is the part of a serving task's cores that it is reckoned to
+// use when fillers are placed beside it.
+const servingShare = 0.6
+
+// unused is the processor time that nothing on the worker is reckoned to use.
+func (b *Board) unused(w *workerState) int64 {
+	left := w.Capacity.MilliCores
+	for key, held := range w.claims {
+		switch {
+		case held.filler:
+			if j := b.jobs[key.Job]; j != nil {
+				left -= j.work.Steps[key.Step].Size.MilliCores
+			}
+		case held.serving:
+			left -= int64(servingShare * float64(held.size.MilliCores))
+		default:
+			left -= held.size.MilliCores
+		}
+	}
+	return left
+}
+
+// tailsNear is how much a filler would disturb: one for each serving task.
+func (b *Board) tailsNear(w *workerState) float64 {
+	count := 0.0
+	for _, held := range w.claims {
+		if held.serving {
+			count++
+		}
+	}
+	return count
+}
+
+// placeGang starts all tasks of a step at once, or none.
+func (b *Board) placeGang(j *job, step *stepState, pool []*workerState, now time.Time) {
+	if step.waiting != len(step.tasks) {
+		b.breakGang(step)
+		return
+	}
+	if now.Before(step.tasks[0].notBefore) {
+		return
+	}
+	run := b.nextRun()
+	chosen := make([]*workerState, 0, len(step.tasks))
+	for _, t := range step.tasks {
+		w := b.choose(step, t, pool, now)
+		if w == nil {
+			break
+		}
+		b.claim(w, j, step, t, run, now)
+		chosen = append(chosen, w)
+	}
+	if len(chosen) < len(step.tasks) {
+		for i, w := range chosen {
+			b.release(w, step.tasks[i].key, now)
+		}
+		return
+	}
+	checkpoint := gangCheckpoint(step)
+	for i, t := range step.tasks {
+		b.effects.Starts = append(b.effects.Starts, Start{
+			Worker:     chosen[i].ID,
+			Key:        t.key,
+			Run:        run,
+			Spec:       j.work.Spec,
+			Checkpoint: checkpoint,
+		})
+	}
+}
+
+// gangCheckpoint is one that all members resume from.
+func gangCheckpoint(step *stepState) string {
+	for _, t := range step.tasks {
+		if t.checkpoint != "" {
+			return t.checkpoint
+		}
+	}
+	return ""
+}
+
+// breakGang stops the rest of a gang of which a member is missing.
+func (b *Board) breakGang(step *stepState) {
+	for _, t := range step.tasks {
+		if t.phase == claimed {
+			b.stop(t.worker, t.key, t.run, "gang_incomplete")
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/schedule/decide.go
@@ -0,0 +1,218 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// Decide starts what may and can be started and returns all orders due.
+// Allowed is false while the leadership is in doubt: then nothing is started.
+func (b *Board) Decide(now time.Time, allowed bool) Effects {
+	b.now = now
+	b.Expire(now)
+	b.restop()
+	if allowed && !b.fenced {
+		b.place(now)
+	}
+	b.control(now)
+	out := b.effects
+	b.effects = Effects{}
+	return out
+}
+
+// restop repeats stops that went unanswered.
+func (b *Board) restop() {
+	for _, w := range b.workers {
+		if !w.reachable {
+			continue
+		}
+		for key, held := range w.claims {
+			j := b.jobs[key.Job]
+			if j == nil || !j.progress.State.Final() {
+				if held.retries <= mostRetries {
+					continue
+				}
+			}
+			b.stop(w.ID, key, held.run, "over")
+		}
+	}
+}
+
+// candidate is a job with the order in which it is served.
+type candidate struct {
+	job  *job
+	rank rank
+}
+
+// rank orders jobs: lower goes first, field by field.
+type rank struct {
+	// class is 0 for lasting tasks, whose absence costs from the first moment,
+	// then the queue's priority.
+	class int
+	// late jobs have missed their objective and earn little.
+	late bool
+	// slack is the time left after what the job still has to do.
+	slack time.Duration
+}
+
+func compareRanks(a, c candidate) int {
+	switch {
+	case a.rank.class != c.rank.class:
+		return cmp.Compare(a.rank.class, c.rank.class)
+	case a.rank.late != c.rank.late:
+		if a.rank.late {
+			return 1
+		}
+		return -1
+	case a.rank.slack != c.rank.slack:
+		return cmp.Compare(a.rank.slack, c.rank.slack)
+	}
+	return cmp.Compare(a.job.work.ID, c.job.work.ID)
+}
+
+func (b *Board) rankOf(j *job, now time.Time) rank {
+	class := 1
+	if queue, ok := b.catalog.Queues[j.work.Queue]; ok {
+		class = 1 + queue.Priority
+	}
+	if j.work.Lasting() {
+		class = 0
+	}
+	slack := j.objective.Sub(now) - b.remaining(j)
+	return rank{
+		class: class,
+		late:  slack < 0 && class > 0,
+		slack: slack,
+	}
+}
+
+// place goes through the waiting tasks in order and starts what fits.
+func (b *Board) place(now time.Time) {
+	waiting := make([]candidate, 0, len(b.open))
+	for _, j := range b.open {
+		if j.left > j.claims && b.mayStart(j, now) {
+			waiting = append(waiting, candidate{
+				job:  j,
+				rank: b.rankOf(j, now),
+			})
+		}
+	}
+	slices.SortFunc(waiting, compareRanks)
+	full := map[string][]worker.Size{}
+	pools := map[string][]*workerState{}
+	for _, one := range waiting {
+		service := b.serviceOf(one.job)
+		if _, ok := pools[service]; !ok {
+			pools[service] = b.pool(service, now)
+		}
+		if len(pools[service]) > 0 {
+			full[service] = b.placeJob(one.job, pools[service], full[service], now)
+		}
+	}
+}
+
+// mayStart tells whether the job's tasks can be known not to be running.
+func (b *Board) mayStart(j *job, now time.Time) bool {
+	if j.inherited == 0 {
+		return true
+	}
+	if !b.settled(b.serviceOf(j), now) {
+		return false
+	}
+	if j.inherited == b.token {
+		j.inherited = 0
+	}
+	return true
+}
+
+// pool is the workers of a service that may be given tasks now.
+func (b *Board) pool(service string, now time.Time) []*workerState {
+	var out []*workerState
+	for _, w := range b.workers {
+		if w.Service == service && b.usable(w, now) {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, c *workerState) int { return cmp.Compare(a.ID, c.ID) })
+	return out
+}
+
+func (b *Board) usable(w *workerState, now time.Time) bool {
+	return w.listed && !w.Draining && w.reachable && w.heardUnder == b.token &&
+		!b.evacuated[w.Zone] && now.After(w.blockedUntil) && w.health.trusted(now)
+}
+
+// placeJob starts what it can and returns the sizes that found no room.
+func (b *Board) placeJob(j *job, pool []*workerState, full []worker.Size, now time.Time) []worker.Size {
+	for _, one := range j.occurrences {
+		if one.left == 0 {
+			continue
+		}
+		for _, step := range one.steps {
+			if step.waiting == 0 || !one.turn(step, now) {
+				continue
+			}
+			if step.spec.Gang {
+				b.placeGang(j, step, pool, now)
+				continue
+			}
+			full = b.placeStep(j, step, pool, full, now)
+		}
+	}
+	return full
+}
+
+func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, full []worker.Size, now time.Time) []worker.Size {
+	need := roomOf(step.spec)
+	if step.spec.Label == "" && step.spec.Spread == 0 && hopeless(need, full) {
+		return full
+	}
+	for _, t := range step.tasks {
+		if t.phase != waiting || now.Before(t.notBefore) {
+			continue
+		}
+		w := b.choose(step, t, pool, now)
+		if w == nil {
+			if step.spec.Label == "" && step.spec.Spread == 0 && t.avoid == "" {
+				full = append(full, need)
+			}
+			return full
+		}
+		b.start(w, j, step, t, b.nextRun(), now)
+	}
+	return full
+}
+
+// hopeless tells whether a smaller size has found no room already.
+func hopeless(need worker.Size, full []worker.Size) bool {
+	for _, size := range full {
+		if size.Within(need) {
+			return true
+		}
+	}
+	return false
+}
+
+// roomOf is the room that a task of the step is booked with.
+func roomOf(spec *work.Step) worker.Size {
+	size := spec.Size
+	if spec.Filler {
+		size.MilliCores = 0
+	}
+	return size
+}
+
+func (b *Board) start(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) {
+	b.claim(w, j, step, t, run, now)
+	b.effects.Starts = append(b.effects.Starts, Start{
+		Worker:     w.ID,
+		Key:        t.key,
+		Run:        run,
+		Spec:       j.work.Spec,
+		Checkpoint: t.checkpoint,
+	})
+}
--- /dev/null
+++ b/internal/process/schedule/ends.go
@@ -0,0 +1,101 @@
+package schedule
+
+import (
+	"time"
+
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// takeEnd applies one end and returns the record that must be in the store
+// before the worker may forget it; version zero needs none.
+func (b *Board) takeEnd(w *workerState, end EndedTask, now time.Time) (id string, version int64) {
+	held := w.claims[end.Key]
+	if held != nil && held.run == end.Run {
+		b.noteHealth(w, end, held, now)
+		b.release(w, end.Key, now)
+	}
+	j := b.jobs[end.Key.Job]
+	if j == nil || j.progress.State.Final() {
+		return "", 0
+	}
+	one, step, t := j.find(end.Key)
+	if t == nil || t.phase == done {
+		return "", 0
+	}
+	before := j.version
+	switch end.Ending {
+	case EndedDone:
+		if !step.spec.Lasting {
+			b.taskDone(j, one, step, t, now)
+		}
+	case EndedFailed:
+		b.taskFailed(j, w, step, t, now)
+	case EndedStopped, EndedLapsed, EndedBroken, EndedAlone:
+		if end.Checkpoint != "" && t.phase == waiting {
+			t.checkpoint = end.Checkpoint
+			b.touch(j)
+		}
+	}
+	if j.version == before {
+		return "", 0
+	}
+	return j.work.ID, j.version
+}
+
+func (b *Board) taskDone(j *job, one *occurrence, step *stepState, t *task, now time.Time) {
+	if t.phase == claimed {
+		// A former run ended done while a later one is at work: stop that one.
+		b.stop(t.worker, t.key, t.run, "done_elsewhere")
+		j.claims--
+		t.phase = waiting
+		step.waiting++
+	}
+	j.finish(one, step, t)
+	if step.spec.Gang {
+		b.gangDone(j, one, step)
+	}
+	if j.left == 0 {
+		b.end(j, work.Completed, now)
+		return
+	}
+	b.touch(j)
+}
+
+func (b *Board) taskFailed(j *job, w *workerState, step *stepState, t *task, now time.Time) {
+	if step.spec.Lasting {
+		t.avoid = w.ID
+		return
+	}
+	t.failures++
+	t.avoid = w.ID
+	if bound := b.attemptsOf(j); bound > 0 && t.failures >= bound && !step.spec.Copies {
+		b.end(j, work.Failed, now)
+		return
+	}
+	if bound := b.attemptsOf(j); bound > 0 && t.failures >= bound {
+		b.end(j, work.Failed, now)
+		return
+	}
+	b.touch(j)
+}
+
+// gangDone counts the other members as done too: one end stands for all.
+func (b *Board) gangDone(j *job, one *occurrence, step *stepState) {
+	for _, t := range step.tasks {
+		if t.phase == done {
+			continue
+		}
+		if t.phase == claimed {
+			if w := b.workers[t.worker]; w != nil {
+				if held := w.claims[t.key]; held != nil {
+					delete(w.claims, t.key)
+					w.used = w.used.Minus(held.size)
+				}
+			}
+			j.claims--
+			t.phase = waiting
+			step.waiting++
+		}
+		j.finish(one, step, t)
+	}
+}
--- /dev/null
+++ b/internal/request/work/key.go
@@ -0,0 +1,45 @@
+package work
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// TaskKey names one task of one occurrence of a job.
+type TaskKey struct {
+	Job string
+	// Occurrence counts from zero; zero for a job that runs once.
+	Occurrence int
+	// Step and Index count from zero.
+	Step, Index int
+}
+
+// String writes the key as ID.OCCURRENCE.STEP.INDEX.
+func (k TaskKey) String() string {
+	return k.Job + "." + strconv.Itoa(k.Occurrence) + "." + strconv.Itoa(k.Step) + "." + strconv.Itoa(k.Index)
+}
+
+const keyParts = 4
+
+// ParseTaskKey reads what String wrote. Errors: ErrInvalid.
+func ParseTaskKey(text string) (TaskKey, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != keyParts {
+		return TaskKey{}, fmt.Errorf("%w: task key %q", ErrInvalid, text)
+	}
+	numbers := [keyParts]int{}
+	for i, part := range parts[1:] {
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 {
+			return TaskKey{}, fmt.Errorf("%w: task key %q", ErrInvalid, text)
+		}
+		numbers[i+1] = number
+	}
+	return TaskKey{
+		Job:        parts[0],
+		Occurrence: numbers[1],
+		Step:       numbers[2],
+		Index:      numbers[3],
+	}, nil
+}
