--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -105,6 +105,8 @@
 	ring = 4096
 	// mostCalls bounds the orders under way at a time.
 	mostCalls = 256
+	// summaryInterval is how often the state of the schedule is logged.
+	summaryInterval = time.Second
 	// tick is the longest time between two decisions.
 	tick = 100 * time.Millisecond
 	// decideGap is the least time between two decisions.
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -133,6 +133,7 @@
 	l.reign.carryOut(l.board.Decide(now, allowed), now)
 	l.reign.record(now)
 	l.reign.forget(now)
+	l.reign.summarise(now)
 }
 
 // Question is what a front asks of the leader.
--- a/internal/process/leader/reign.go
+++ b/internal/process/leader/reign.go
@@ -42,6 +42,7 @@
 	dirtySince  time.Time
 	forgottenAt time.Time
 	roster      rosterState
+	summarised  time.Time
 	waking      bool
 }
 
@@ -301,3 +302,16 @@
 		r.leader.post(func(time.Time) { r.waking = false })
 	})
 }
+
+// summarise logs the state of the schedule now and then.
+func (r *reign) summarise(now time.Time) {
+	if now.Sub(r.summarised) < summaryInterval {
+		return
+	}
+	r.summarised = now
+	sum := r.leader.board.Summary(now)
+	klog.InfoS("schedule", "token", r.token, "open", sum.Open, "waiting", sum.Waiting, "running", sum.Running,
+		"fillers", sum.Fillers, "serving", sum.Serving, "workers", sum.Workers, "capacity", sum.Capacity,
+		"booked", sum.Booked, "unused", sum.Unused, "paced", sum.Paced, "memory_share", sum.MemoryShare,
+		"events", len(r.leader.events), "orders", len(r.waiting))
+}
