--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -53,8 +53,9 @@
 	// evacuated zones get no new task.
 	evacuated map[string]bool
 
-	estimates *estimates
-	effects   Effects
+	estimates    *estimates
+	interference *interference
+	effects      Effects
 	// dirty are jobs whose progress is newer than its record.
 	dirty map[string]*job
 }
@@ -68,8 +69,9 @@
 		open:      map[string]*job{},
 		workers:   map[string]*workerState{},
 		evacuated: map[string]bool{},
-		estimates: newEstimates(),
-		dirty:     map[string]*job{},
+		estimates:    newEstimates(),
+		interference: newInterference(),
+		dirty:        map[string]*job{},
 	}
 }
 
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -33,7 +33,7 @@
 	if spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
 		return false
 	}
-	if spec.Filler && b.unused(w) < spec.Size.MilliCores {
+	if spec.Filler && (b.unused(w) < spec.Size.MilliCores || b.clash(w, spec.Image, spec.Size.MilliCores) > mostClash) {
 		return false
 	}
 	return spec.Spread == 0 || b.onWorker(w, t.key) < spec.Spread
@@ -56,25 +56,30 @@
 	weightAvoid  = 100.0
 	weightNear   = 10.0
 	weightHealth = 20.0
+	// weightClash weighs the pressure of a filler against unused cores.
+	weightClash = 4.0
+	// mostClash is the pressure that a filler may put on a tail at most: a
+	// third longer, which a tail at two thirds of its target can bear.
+	mostClash = 0.3
 )
 
 func (b *Board) score(w *workerState, step *stepState, t *task) float64 {
-	score := 0.0
+	spec, score := step.spec, 0.0
 	if t.avoid == w.ID {
 		score -= weightAvoid
 	}
 	if w.health.suspect() {
 		score -= weightHealth
 	}
-	if step.spec.Rack != "" && slices.Contains(w.Labels, step.spec.Rack) {
+	if spec.Rack != "" && slices.Contains(w.Labels, spec.Rack) {
 		score += weightNear
 	}
 	free := w.Capacity.Minus(w.used)
 	left := ratio(free.MilliCores, w.Capacity.MilliCores)
 	switch {
-	case step.spec.Filler:
-		return score + ratio(b.unused(w), w.Capacity.MilliCores) - b.tailsNear(w)
-	case step.spec.TailTarget > 0:
+	case spec.Filler:
+		return score + ratio(b.unused(w), w.Capacity.MilliCores) - weightClash*b.clash(w, spec.Image, spec.Size.MilliCores)
+	case spec.TailTarget > 0:
 		return score + left
 	}
 	return score - left
@@ -109,17 +114,6 @@
 	return left
 }
 
-// tailsNear is how much a filler would disturb: one for each serving task.
-func (b *Board) tailsNear(w *workerState) float64 {
-	count := 0.0
-	for _, held := range w.claims {
-		if held.serving {
-			count++
-		}
-	}
-	return count
-}
-
 // placeGang starts all tasks of a step at once, or none.
 func (b *Board) placeGang(j *job, step *stepState, pool []*workerState, now time.Time) {
 	if step.waiting != len(step.tasks) {
--- a/internal/process/schedule/pacing.go
+++ b/internal/process/schedule/pacing.go
@@ -7,7 +7,8 @@
 )
 
 // Control of the fillers beside tasks that serve users. The tail is known with
-// half a second of lag, so that one change is awaited before the next.
+// half a second of lag, so that the effect of a change is awaited before the
+// next on the same worker.
 const (
 	fullPace = 100
 	// unknownPace makes the pace be set again.
@@ -17,75 +18,95 @@
 	paceInterval = 700 * time.Millisecond
 	// tailHigh and tailLow are shares of the target: above the first fillers
 	// are slowed, below the second they are let go, between them kept.
-	tailHigh = 0.85
-	tailLow  = 0.55
+	tailHigh = 0.9
+	tailLow  = 0.65
 	// paceCut multiplies the pace when tails are too long, paceStep is added
-	// when they are short again.
-	paceCut  = 0.5
-	paceStep = 20
-	// paceFloor is the pace below which fillers stand still.
-	paceFloor = 12
+	// when they are short again. Below paceFloor fillers stand still.
+	paceCut   = 0.5
+	paceStep  = 25
+	paceFloor = 15
+	// blame is the share of the worst pressure on a tail from which on a filler
+	// is slowed with the one that presses most.
+	blame = 0.5
+	// knownPressure is the least pressure that explains a long tail; below it
+	// nobody is known to be at fault, and all fillers are slowed.
+	knownPressure = 0.15
 )
 
-// pacing is the control state of one worker.
-type pacing struct {
-	percent int
-	set     bool
-	changed time.Time
-}
-
 // control slows fillers where serving tasks are near their target.
 func (b *Board) control(now time.Time) {
 	for _, w := range b.workers {
-		if w.reachable && w.heardUnder == b.token {
+		if w.reachable && w.heardUnder == b.token && now.Sub(w.paced) >= paceInterval && w.heard.After(w.paced) {
 			b.controlWorker(w, now)
 		}
 	}
 }
 
 func (b *Board) controlWorker(w *workerState, now time.Time) {
-	worst, fillers := 0.0, 0
+	var worst *claim
+	ratioOf := func(held *claim) float64 { return float64(held.tail) / float64(held.target) }
 	for _, held := range w.claims {
-		if held.filler {
-			fillers++
-		}
-		if held.serving && held.target > 0 {
-			worst = max(worst, float64(held.tail)/float64(held.target))
+		if held.serving && held.progress >= servingPercent && (worst == nil || ratioOf(held) > ratioOf(worst)) {
+			worst = held
 		}
 	}
-	if !w.pacing.set {
-		w.pacing.percent, w.pacing.set = fullPace, true
+	switch {
+	case worst != nil && ratioOf(worst) > tailHigh:
+		b.slow(w, worst, ratioOf(worst) > 1, now)
+	case worst == nil || ratioOf(worst) < tailLow:
+		b.speed(w, now)
 	}
-	if now.Sub(w.pacing.changed) >= paceInterval {
-		w.pacing.adjust(worst, fillers, now)
+}
+
+// slow paces the fillers that press on a tail, or all if nobody is known to.
+func (b *Board) slow(w *workerState, tail *claim, over bool, now time.Time) {
+	most := 0.0
+	for _, held := range w.claims {
+		if held.filler {
+			most = max(most, b.presses(w, tail, held))
+		}
 	}
 	for key, held := range w.claims {
-		if held.filler && held.sure && held.percent != w.pacing.percent && held.stopping.IsZero() {
-			b.pace(w, key, held, w.pacing.percent)
+		if !held.filler || !held.sure || held.percent == 0 {
+			continue
+		}
+		if most >= knownPressure && b.presses(w, tail, held) < blame*most {
+			continue
+		}
+		percent := int(paceCut * float64(held.percent))
+		if percent < paceFloor || over && most >= knownPressure {
+			percent = 0
 		}
+		b.pace(w, key, held, percent, now)
 	}
 }
 
-func (p *pacing) adjust(worst float64, fillers int, now time.Time) {
-	before := p.percent
-	switch {
-	case worst > 1:
-		p.percent = 0
-	case worst > tailHigh && fillers > 0:
-		p.percent = int(paceCut * float64(p.percent))
-		if p.percent < paceFloor {
-			p.percent = 0
+// presses is the pressure of one filler on one serving task at its present
+// use, or at full pace while it stands still.
+func (b *Board) presses(w *workerState, tail, filler *claim) float64 {
+	use := max(filler.inUse, filler.wants/4)
+	return b.interference.press[pair{
+		serving: tail.image,
+		filler:  filler.image,
+	}] * ratio(use, w.Capacity.MilliCores)
+}
+
+// speed lets fillers go again, those that press least first: one step at a time.
+func (b *Board) speed(w *workerState, now time.Time) {
+	for key, held := range w.claims {
+		if !held.filler || !held.sure || held.percent >= fullPace {
+			continue
 		}
-	case worst < tailLow:
-		p.percent = min(fullPace, p.percent+paceStep)
-	}
-	if p.percent != before {
-		p.changed = now
+		if b.clash(w, held.image, held.wants*int64(held.percent+paceStep)/fullPace) > mostClash {
+			continue
+		}
+		b.pace(w, key, held, min(fullPace, held.percent+paceStep), now)
 	}
 }
 
-func (b *Board) pace(w *workerState, key work.TaskKey, held *claim, percent int) {
+func (b *Board) pace(w *workerState, key work.TaskKey, held *claim, percent int, now time.Time) {
 	held.percent = percent
+	w.paced = now
 	b.effects.Paces = append(b.effects.Paces, Pace{
 		Worker:  w.ID,
 		Key:     key,
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -9,7 +9,7 @@
 	// in thousandths.
 	Workers                  int
 	Capacity, Booked, Unused int64
-	// Paced is the number of workers where fillers are slowed.
+	// Paced is the number of fillers that are slowed.
 	Paced int
 	// MemoryShare is the part of the memory that is booked.
 	MemoryShare float64
@@ -35,6 +35,9 @@
 			out.Running++
 			if held.filler {
 				out.Fillers++
+				if held.percent < fullPace {
+					out.Paced++
+				}
 			}
 			if held.serving {
 				out.Serving++
@@ -49,9 +52,6 @@
 		out.Unused += b.unused(w)
 		memory += w.Capacity.MemoryBytes
 		booked += w.used.MemoryBytes
-		if w.pacing.set && w.pacing.percent < fullPace {
-			out.Paced++
-		}
 	}
 	out.MemoryShare = ratio(booked, memory)
 	return out
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -56,6 +56,9 @@
 	image        string
 	// percent is the pace asked for, from 0 to 100.
 	percent int
+	// wants are the thousandths of cores that a filler asked for, inUse those
+	// that it had lately.
+	wants, inUse int64
 	// progress is the newest percent, moved when it last changed.
 	progress int
 	moved    time.Time
@@ -85,7 +88,8 @@
 	health   health
 	// blockedUntil keeps new tasks away after a refusal.
 	blockedUntil time.Time
-	pacing       pacing
+	// paced is when the pace of a filler was last changed.
+	paced time.Time
 }
 
 // pendingEnd is an end whose effect may not be in the store yet.
@@ -250,6 +254,7 @@
 	w.heardUnder, w.heard, w.reachable = b.token, now, true
 	news := b.takeEnds(w, inventory.Ended, now)
 	b.takeRunning(w, inventory, now)
+	b.observeTails(w)
 	return news
 }
 
@@ -323,6 +328,9 @@
 	if row.Percent != held.progress {
 		held.progress, held.moved = row.Percent, now
 	}
+	if held.filler {
+		held.inUse = row.MilliCores
+	}
 	if held.serving {
 		held.tail = row.Tail
 		if held.target > 0 && row.Tail > held.target {
@@ -352,6 +360,7 @@
 		target:  spec.TailTarget,
 		image:   spec.Image,
 		percent: fullPace,
+		wants:   spec.Size.MilliCores,
 		moved:   now,
 	}
 	if spec.Filler {
