Pairs are learned from tails beyond their target only

Cause: below its target a tail follows its own load; the model took that for pressure. Change: evidence starts at 0.8 of the target, weights fade.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -63,12 +63,12 @@
 // NewBoard returns an empty board.
 func NewBoard(config Config) *Board {
 	return &Board{
-		config:    config,
-		catalog:   &catalog.Catalog{},
-		jobs:      map[string]*job{},
-		open:      map[string]*job{},
-		workers:   map[string]*workerState{},
-		evacuated: map[string]bool{},
+		config:       config,
+		catalog:      &catalog.Catalog{},
+		jobs:         map[string]*job{},
+		open:         map[string]*job{},
+		workers:      map[string]*workerState{},
+		evacuated:    map[string]bool{},
 		estimates:    newEstimates(),
 		interference: newInterference(),
 		dirty:        map[string]*job{},
--- a/internal/process/schedule/interference.go
+++ b/internal/process/schedule/interference.go
@@ -7,15 +7,18 @@
 
 // interference learns which filler images lengthen the tails of which serving
 // images. Load pattern: most pairs get along, a few multiply the tail by ten,
-// and which ones is not declared. A tail is modelled as
+// and which ones is not declared. Below its target a tail follows its own load,
+// so that only what goes beyond is evidence:
 //
-//	log(tail) = base(serving) + sum over fillers of press(serving, filler) x share
+//	log(tail / threshold), at least 0 = sum over fillers of press x share
 //
 // where share is the part of the worker's cores that the fillers of an image
-// use. It is fitted by normalised least mean squares, from every look.
+// use, and threshold a little below the target. It is fitted by normalised
+// least mean squares from every look.
 type interference struct {
-	base  map[string]float64
 	press map[pair]float64
+	// fadedAt is when unconfirmed knowledge was last made weaker.
+	fadedAt time.Time
 }
 
 type pair struct {
@@ -23,54 +26,66 @@
 }
 
 const (
-	// learnBase and learnPress are the weights of one sample. Some fifty samples
-	// a second make a bad pair known within a few seconds, while one tail that
-	// its own load has lengthened moves little.
-	learnBase  = 0.02
-	learnPress = 0.15
+	// evidence is the share of the target from which on a tail is held to be
+	// lengthened by others; the images' own load swings below it.
+	evidence = 0.8
+	// learnUp and learnDown are the weights of one sample. A bad pair is known
+	// after a few samples, and is forgiven slowly.
+	learnUp   = 0.3
+	learnDown = 0.03
 	// shareFloor damps samples with hardly any filler, in squares of shares.
 	shareFloor = 0.01
 	// mostPress bounds a weight: at a tenth of the cores it is a tail of
-	// twenty times the usual.
+	// twenty times the threshold.
 	mostPress = 30.0
-	// shortestTail bounds the logarithm.
-	shortestTail = time.Millisecond
+	// fade is what is left of a weight after fadeInterval, so that a pair which
+	// is kept apart gets another chance within a minute.
+	fade         = 0.97
+	fadeInterval = time.Second
 )
 
 func newInterference() *interference {
 	return &interference{
-		base:  map[string]float64{},
 		press: map[pair]float64{},
 	}
 }
 
-func logTail(tail time.Duration) float64 {
-	return math.Log(float64(max(tail, shortestTail)) / float64(time.Millisecond))
-}
-
 // learn takes one sample: a tail beside fillers with their shares by image.
-func (f *interference) learn(serving string, tail time.Duration, shares map[string]float64) {
-	seen := logTail(tail)
-	base, known := f.base[serving]
-	if !known {
-		f.base[serving], base = seen, seen
+func (f *interference) learn(serving string, tail, target time.Duration, shares map[string]float64) {
+	if len(shares) == 0 || target <= 0 {
+		return
 	}
+	excess := max(0, math.Log(float64(tail)/(evidence*float64(target))))
 	square := shareFloor
 	for _, share := range shares {
 		square += share * share
 	}
-	miss := seen - base - f.pressure(serving, shares)
-	f.base[serving] = base + learnBase*miss
+	miss := excess - f.pressure(serving, shares)
+	rate := learnUp
+	if miss < 0 {
+		rate = learnDown
+	}
 	for filler, share := range shares {
 		key := pair{
 			serving: serving,
 			filler:  filler,
 		}
-		f.press[key] = min(mostPress, max(0, f.press[key]+learnPress*miss*share/square))
+		f.press[key] = min(mostPress, max(0, f.press[key]+rate*miss*share/square))
+	}
+}
+
+// fade makes all weights weaker as time goes by.
+func (f *interference) fade(now time.Time) {
+	if now.Sub(f.fadedAt) < fadeInterval {
+		return
+	}
+	f.fadedAt = now
+	for key, press := range f.press {
+		f.press[key] = fade * press
 	}
 }
 
-// pressure is by how much the fillers lengthen the logarithm of a tail.
+// pressure is by how much the fillers take a tail's logarithm beyond.
 func (f *interference) pressure(serving string, shares map[string]float64) float64 {
 	sum := 0.0
 	for filler, share := range shares {
@@ -107,7 +122,7 @@
 		if shares == nil {
 			shares = w.fillerShares()
 		}
-		b.interference.learn(held.image, held.tail, shares)
+		b.interference.learn(held.image, held.tail, held.target, shares)
 	}
 }
 
