Serving images are kept together

Cause: with four or five serving tasks of any image on each worker, a filler that three images in five cannot bear found no place while half the cores stood unused. Change: a serving task goes where its image is already. Ruled out: memory (0.6 booked) and room for batch (unused cores stayed free).

--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -58,6 +58,8 @@
 	weightHealth = 20.0
 	// weightClash weighs the pressure of a filler against unused cores.
 	weightClash = 4.0
+	// weightKin weighs company of the same image against free room.
+	weightKin = 2.0
 	// mostClash is the pressure that a filler may put on a tail at most: a
 	// third longer, which a tail at two thirds of its target can bear.
 	mostClash = 0.3
@@ -80,7 +82,7 @@
 	case spec.Filler:
 		return score + ratio(b.unused(w), w.Capacity.MilliCores) - weightClash*b.clash(w, spec.Image, spec.Size.MilliCores)
 	case spec.TailTarget > 0:
-		return score + left
+		return score + left + weightKin*b.kin(w, spec.Image)
 	}
 	return score - left
 }
@@ -114,6 +116,26 @@
 	return left
 }
 
+// kin is the part of the worker's serving tasks that are of the image. Serving
+// images are kept together, so that a filler which only some of them can bear
+// still finds workers without those.
+func (b *Board) kin(w *workerState, image string) float64 {
+	same, others := 0.0, 0.0
+	for _, held := range w.claims {
+		switch {
+		case !held.serving:
+		case held.image == image:
+			same++
+		default:
+			others++
+		}
+	}
+	if same+others == 0 {
+		return 0
+	}
+	return (same - others) / (same + others)
+}
+
 // placeGang starts all tasks of a step at once, or none.
 func (b *Board) placeGang(j *job, step *stepState, pool []*workerState, now time.Time) {
 	if step.waiting != len(step.tasks) {
