--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -19,12 +19,15 @@
 		return
 	}
 	if view.Whole {
-		l.setKnown(nil, 0, now)
-		for i := range view.Items {
-			if view.Items[i].Key == keyLead {
-				l.setKnown(view.Items[i].Value, view.Items[i].Revision, now)
+		lead := store.Item{}
+		for _, item := range view.Items {
+			if item.Key == keyLead {
+				lead = item
 			}
 		}
+		if lead.Revision != l.knownRevision || lead.Revision == 0 {
+			l.setKnown(lead.Value, lead.Revision, now)
+		}
 		return
 	}
 	for _, event := range view.Events {
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -99,8 +99,12 @@
 	listGap = 400 * time.Millisecond
 	// jobGap is the pause between two reads of new jobs.
 	jobGap = 25 * time.Millisecond
-	// watchWait is how long a watch waits for changes.
-	watchWait = 10 * time.Second
+	// workWait is how long a watch of the work waits for changes. A store that
+	// drops its history may never answer a watch that waits: jobs and
+	// cancellations are late by this much then.
+	workWait = time.Second
+	// leadWait is the same for the lead key, which seldom changes.
+	leadWait = 2 * time.Second
 	// ring bounds the events that wait for the loop.
 	ring = 4096
 	// mostCalls bounds the orders under way at a time.
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -80,7 +80,7 @@
 	watcher := store.NewWatcher(store.WatcherConfig{
 		Client:  l.config.Store,
 		Prefix:  keyLead,
-		Wait:    watchWait,
+		Wait:    leadWait,
 		Timeout: callTimeout,
 		Clock:   l.config.Clock,
 		View: func(view store.View) {
--- a/internal/process/leader/reign.go
+++ b/internal/process/leader/reign.go
@@ -98,7 +98,7 @@
 	jobs := store.NewWatcher(store.WatcherConfig{
 		Client:  l.config.Store,
 		Prefix:  prefixWork,
-		Wait:    watchWait,
+		Wait:    workWait,
 		Gap:     jobGap,
 		Timeout: callTimeout,
 		Clock:   l.config.Clock,
@@ -109,7 +109,7 @@
 	workers := store.NewWatcher(store.WatcherConfig{
 		Client:  l.config.Store,
 		Prefix:  l.config.WorkersPrefix,
-		Wait:    watchWait,
+		Wait:    workWait,
 		Gap:     listGap,
 		Timeout: callTimeout,
 		Clock:   l.config.Clock,
--- a/internal/process/schedule/ends.go
+++ b/internal/process/schedule/ends.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/request/work"
@@ -29,7 +30,7 @@
 			b.taskDone(j, one, step, t, now)
 		}
 	case EndedFailed:
-		b.taskFailed(j, w, step, t, now)
+		b.taskFailed(j, w, step, t, end.Run, now)
 	case EndedStopped, EndedLapsed, EndedBroken, EndedAlone:
 		if end.Checkpoint != "" && t.phase == waiting {
 			t.checkpoint = end.Checkpoint
@@ -61,18 +62,13 @@
 	b.touch(j)
 }
 
-func (b *Board) taskFailed(j *job, w *workerState, step *stepState, t *task, now time.Time) {
-	if step.spec.Lasting {
-		t.avoid = w.ID
-		return
-	}
-	t.failures++
+func (b *Board) taskFailed(j *job, w *workerState, step *stepState, t *task, run int64, now time.Time) {
 	t.avoid = w.ID
-	if bound := b.attemptsOf(j); bound > 0 && t.failures >= bound && !step.spec.Copies {
-		b.end(j, work.Failed, now)
+	if step.spec.Lasting || slices.Contains(t.failures, run) {
 		return
 	}
-	if bound := b.attemptsOf(j); bound > 0 && t.failures >= bound {
+	t.failures = append(t.failures, run)
+	if bound := b.attemptsOf(j); bound > 0 && len(t.failures) >= bound {
 		b.end(j, work.Failed, now)
 		return
 	}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/request/work"
@@ -27,7 +28,8 @@
 	run    int64
 	// checkpoint is the newest one known.
 	checkpoint string
-	failures   int
+	// failures are the runs that failed.
+	failures []int64
 	// avoid is the worker on which it failed last.
 	avoid string
 	// notBefore delays the next start after a refusal.
@@ -151,7 +153,7 @@
 	for _, one := range j.occurrences {
 		for _, step := range one.steps {
 			for _, t := range step.tasks {
-				t.failures = progress.Failures[number]
+				t.failures = slices.Clone(progress.Failures[number])
 				t.checkpoint = progress.Saved[number]
 				if number/8 < len(progress.Done) && progress.Done[number/8]&(1<<(number%8)) != 0 {
 					j.finish(one, step, t)
@@ -178,7 +180,7 @@
 	out := work.Progress{
 		State:    j.progress.State,
 		Began:    j.progress.Began,
-		Failures: map[int]int{},
+		Failures: map[int][]int64{},
 		Saved:    map[int]string{},
 	}
 	number, bits := 0, []byte{}
@@ -193,8 +195,8 @@
 				} else if t.checkpoint != "" {
 					out.Saved[number] = t.checkpoint
 				}
-				if t.failures > 0 && t.phase != done {
-					out.Failures[number] = t.failures
+				if len(t.failures) > 0 && t.phase != done {
+					out.Failures[number] = slices.Clone(t.failures)
 				}
 				number++
 			}
--- a/internal/request/work/progress.go
+++ b/internal/request/work/progress.go
@@ -36,8 +36,9 @@
 	Began bool `cbor:"2,keyasint,omitempty"`
 	// Done has a bit a task, in the order of occurrence, step and index.
 	Done []byte `cbor:"3,keyasint,omitempty"`
-	// Failures counts the attempts that failed, by task number.
-	Failures map[int]int `cbor:"4,keyasint,omitempty"`
+	// Failures lists the runs that failed, by task number. An end that a worker
+	// repeats to the next leader is thereby counted once.
+	Failures map[int][]int64 `cbor:"4,keyasint,omitempty"`
 	// Saved holds the newest checkpoint by task number.
 	Saved map[int]string `cbor:"5,keyasint,omitempty"`
 }
