--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -115,6 +115,9 @@
 	tick = 100 * time.Millisecond
 	// decideGap is the least time between two decisions.
 	decideGap = 5 * time.Millisecond
+	// pruneInterval is the least time between two writes that only take workers
+	// off the roster.
+	pruneInterval = time.Second
 	// forgetInterval is how often old records are dropped.
 	forgetInterval = 5 * time.Second
 )
@@ -122,7 +125,7 @@
 // ActTerm is how long a leader may act after its last confirmation by the
 // store. It outlasts a short outage; a taker reckons with it for every worker
 // that it cannot hear.
-const ActTerm = 6 * time.Second
+const ActTerm = 3 * time.Second
 
 // Keys in the store.
 const (
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -88,12 +88,13 @@
 	}
 }
 
-// leaseFor is the longest lease that may be asked for now.
+// leaseFor is the longest lease that may be asked for now. A worker that does
+// not answer is asked for none: what runs there has to be over some day.
 func (r *reign) leaseFor(one *link, now time.Time) Lease {
 	lease := Lease{
 		Token: r.token,
 	}
-	if one.clock > 0 {
+	if one.clock > 0 && !one.lost {
 		lease.Until = one.clock + now.Sub(one.clockAt) + r.leader.config.Board.LeaseTerm
 		r.leader.board.Extended(one.target.ID, now)
 	}
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -160,15 +160,14 @@
 		return
 	}
 	roster := r.leader.board.Roster()
+	current := rosterKeys(roster)
 	missing := false
-	for _, one := range roster {
-		target := Target{
-			ID:      one.ID,
-			Address: one.Address,
-		}
+	for target := range current {
 		missing = missing || !r.roster.holds(target)
 	}
-	if !missing {
+	// A worker that is gone but still on the roster would make a taker wait.
+	gone := len(r.roster.stored) > len(current) && now.Sub(r.roster.triedAt) >= pruneInterval
+	if !missing && !gone {
 		return
 	}
 	value, err := cbor.Marshal(roster)
