Commits of a leader are ordered; a cancellation may come before its job

Change: every commit names the one before it; early cancellations are kept. Ruled out: conditions on each record, which would halve the records of a commit.

--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -112,6 +112,8 @@
 	progress map[string]*work.Progress
 	cancels  []string
 	roster   []schedule.Listing
+	// sequence is the revision of the key that orders commits.
+	sequence int64
 	revision int64
 }
 
@@ -207,6 +209,11 @@
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		return err
 	}
+	sequence, err := client.Get(ctx, keySequence)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return err
+	}
+	got.sequence = sequence.Revision
 	listing, err := client.List(ctx, prefixWork)
 	if err != nil {
 		return err
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -137,4 +137,6 @@
 	// keyEpoch changes with every leadership and never goes.
 	keyEpoch  = "mustardreach/epoch"
 	keyRoster = "mustardreach/roster"
+	// keySequence is written by every commit of a leader.
+	keySequence = "mustardreach/sequence"
 )
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -13,49 +13,103 @@
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
-// guard makes a write hold only while the leadership is ours.
-func (r *reign) guard() []store.Condition {
-	return []store.Condition{
-		{
-			Key:      keyLead,
-			Revision: r.token,
-		},
-	}
+// writer sends a reign's commits one at a time. Each names the leadership and
+// the commit before it, so that one whose answer was lost can never take effect
+// after a later one: an older record would replace a newer.
+type writer struct {
+	reign *reign
+	busy  bool
+	// waiting commits are sent in order.
+	waiting []*writing
+	// sequence is the revision of the key that every commit writes.
+	sequence int64
 }
 
-// writing is one commit under way.
+// writing is one commit.
 type writing struct {
-	reign  *reign
+	writer *writer
 	commit store.Commit
 	// done runs in the loop.
 	done func(err error, now time.Time)
 }
 
-func (w *writing) run(ctx context.Context) {
+// add queues a commit.
+func (w *writer) add(one *writing) {
+	one.writer = w
+	w.waiting = append(w.waiting, one)
+	w.next()
+}
+
+func (w *writer) next() {
+	if w.busy || len(w.waiting) == 0 {
+		return
+	}
+	w.busy = true
+	one := w.waiting[0]
+	w.waiting = w.waiting[1:]
+	one.commit.If = []store.Condition{
+		{
+			Key:      keyLead,
+			Revision: w.reign.token,
+		},
+		{
+			Key:      keySequence,
+			Revision: w.sequence,
+		},
+	}
+	one.commit.Set = append(one.commit.Set, store.Write{
+		Key: keySequence,
+	})
+	go one.run(w.reign.ctx)
+}
+
+// guardEntries is how many entries of a commit the writer needs.
+const guardEntries = 3
+
+func (o *writing) run(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := w.reign.leader.config.Store.Commit(limited, w.commit)
-	w.reign.post(func(now time.Time) {
-		w.reign.judge(err, now)
-		if w.reign.leader.reign == w.reign {
-			w.done(err, now)
-		}
-	})
+	revision, err := o.writer.reign.leader.config.Store.Commit(limited, o.commit)
+	o.writer.reign.post(func(now time.Time) { o.writer.written(o, revision, err, now) })
 }
 
-// judge looks at a failed write for a leadership that has gone.
+func (w *writer) written(one *writing, revision int64, err error, now time.Time) {
+	w.busy = false
+	if err == nil {
+		w.sequence = revision
+	}
+	w.reign.judge(err, now)
+	if w.reign.leader.reign != w.reign {
+		return
+	}
+	one.done(err, now)
+	w.next()
+}
+
+// judge looks at a failed write for a leadership that has gone, or for an
+// earlier commit whose answer was lost.
 func (r *reign) judge(err error, now time.Time) {
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) || r.vacant {
 		return
 	}
+	var lead, sequence int64
 	for _, item := range conflict.Items {
-		if item.Key == keyLead && item.Revision > r.token {
-			r.leader.lose("a write met another leader")
-			return
+		switch item.Key {
+		case keyLead:
+			lead = item.Revision
+		case keySequence:
+			sequence = item.Revision
 		}
 	}
-	r.seeLead(Member{}, 0, now)
+	if lead > r.token {
+		r.leader.lose("a write met another leader")
+		return
+	}
+	if lead != r.token {
+		r.seeLead(Member{}, 0, now)
+	}
+	r.writer.sequence = sequence
 }
 
 // record writes progress: ends of jobs soon, the rest in larger batches.
@@ -63,14 +117,12 @@
 	if r.recording || r.vacant || now.Sub(r.recordedAt) < gatherEnds {
 		return
 	}
-	const most = store.MostEntries - 2 // room for the guard
+	const most = store.MostEntries - guardEntries
 	records := r.leader.board.Records(now.Sub(r.recordedAt) >= gatherRest, most)
 	if len(records) == 0 {
 		return
 	}
-	commit := store.Commit{
-		If: r.guard(),
-	}
+	commit := store.Commit{}
 	for i := range records {
 		value, err := work.EncodeProgress(&records[i].Progress)
 		if err != nil {
@@ -83,12 +135,10 @@
 		})
 	}
 	r.recording, r.recordedAt = true, now
-	one := &writing{
-		reign:  r,
+	r.writer.add(&writing{
 		commit: commit,
-		done:   func(err error, now time.Time) { r.recorded(records, err) },
-	}
-	go one.run(r.ctx)
+		done:   func(err error, _ time.Time) { r.recorded(records, err) },
+	})
 }
 
 func (r *reign) recorded(records []schedule.Record, err error) {
@@ -110,25 +160,21 @@
 		return
 	}
 	r.forgottenAt = now
-	const most = store.MostEntries/3 - 1 // three keys a job, and the guard
+	const most = (store.MostEntries - guardEntries) / 3 // three keys a job
 	ids := r.leader.board.Forget(now, most)
 	if len(ids) == 0 {
 		return
 	}
-	commit := store.Commit{
-		If: r.guard(),
-	}
+	commit := store.Commit{}
 	for _, id := range ids {
 		commit.Delete = append(commit.Delete, prefixJob+id, prefixCancel+id, prefixState+id)
 	}
-	one := &writing{
-		reign:  r,
+	r.writer.add(&writing{
 		commit: commit,
 		done: func(err error, _ time.Time) {
 			klog.InfoS("old jobs forgotten", "jobs", len(ids), "err", err)
 		},
-	}
-	go one.run(r.ctx)
+	})
 }
 
 // rosterState is which workers the store knows that we may use.
@@ -176,10 +222,8 @@
 		return
 	}
 	r.roster.writing, r.roster.triedAt = true, now
-	one := &writing{
-		reign: r,
+	r.writer.add(&writing{
 		commit: store.Commit{
-			If: r.guard(),
 			Set: []store.Write{
 				{
 					Key:   keyRoster,
@@ -194,6 +238,5 @@
 				r.roster.stored = rosterKeys(roster)
 			}
 		},
-	}
-	go one.run(r.ctx)
+	})
 }
--- a/internal/process/leader/reign.go
+++ b/internal/process/leader/reign.go
@@ -42,6 +42,7 @@
 	dirtySince  time.Time
 	forgottenAt time.Time
 	roster      rosterState
+	writer      writer
 	summarised  time.Time
 	waking      bool
 }
@@ -62,6 +63,10 @@
 		listBroken: now,
 		links:      map[string]*link{},
 	}
+	r.writer = writer{
+		reign:    r,
+		sequence: got.sequence,
+	}
 	l.reign = r
 	l.board = schedule.NewBoard(l.config.Board)
 	l.board.SetCatalog(l.catalog)
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -50,6 +50,8 @@
 	// open holds the jobs that are not final.
 	open    map[string]*job
 	workers map[string]*workerState
+	// cancelled are jobs whose cancellation came before their record.
+	cancelled map[string]bool
 	// evacuated zones get no new task.
 	evacuated map[string]bool
 
@@ -68,6 +70,7 @@
 		jobs:         map[string]*job{},
 		open:         map[string]*job{},
 		workers:      map[string]*workerState{},
+		cancelled:    map[string]bool{},
 		evacuated:    map[string]bool{},
 		estimates:    newEstimates(),
 		interference: newInterference(),
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -67,7 +67,6 @@
 	// running on workers that have not been heard yet.
 	inherited int64
 	attempts  int
-	cancelled bool
 
 	occurrences []*occurrence
 	left        int
@@ -109,6 +108,9 @@
 		return
 	}
 	b.open[spec.ID] = j
+	if b.cancelled[spec.ID] {
+		b.Cancel(spec.ID, now)
+	}
 }
 
 func (j *job) build(now, timeOfDay time.Time) {
@@ -263,14 +265,19 @@
 	}
 }
 
-// Cancel ends a job on its caller's word.
+// Cancel ends a job on its caller's word. The record of the job may come later:
+// a list of both is in the order of their keys.
 func (b *Board) Cancel(id string, now time.Time) {
 	b.now = now
+	if b.jobs[id] == nil {
+		b.cancelled[id] = true
+		return
+	}
+	delete(b.cancelled, id)
 	j := b.open[id]
 	if j == nil {
 		return
 	}
-	j.cancelled = true
 	b.end(j, work.Cancelled, now)
 }
 
