--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -13,6 +14,10 @@
 	"mustardreach.example/mustardreach/internal/process/store"
 )
 
+// ErrClosed marks a look that the worker's side ended by closing the
+// connection, or that nobody listens for any more.
+var ErrClosed = errors.New("worker closed the connection")
+
 // Target is the worker that a call is for.
 type Target struct {
 	ID      string
@@ -114,7 +119,7 @@
 	// tick is the longest time between two decisions.
 	tick = 100 * time.Millisecond
 	// decideGap is the least time between two decisions.
-	decideGap = 5 * time.Millisecond
+	decideGap = 10 * time.Millisecond
 	// pruneInterval is the least time between two writes that only take workers
 	// off the roster.
 	pruneInterval = time.Second
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -140,6 +141,9 @@
 		k.lost, k.anew = true, true
 		k.due = now.Add(retryGap)
 		board.Unheard(k.target.ID, now)
+		if errors.Is(err, ErrClosed) {
+			board.Closed(k.target.ID)
+		}
 		return
 	}
 	if look.Token != k.reign.token {
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -55,6 +55,9 @@
 	// evacuated zones get no new task.
 	evacuated map[string]bool
 
+	reservations map[work.TaskKey]reservation
+	// reserveLeft is how many more may be made in this decision.
+	reserveLeft  int
 	estimates    *estimates
 	interference *interference
 	effects      Effects
@@ -72,6 +75,7 @@
 		workers:      map[string]*workerState{},
 		cancelled:    map[string]bool{},
 		evacuated:    map[string]bool{},
+		reservations: map[work.TaskKey]reservation{},
 		estimates:    newEstimates(),
 		interference: newInterference(),
 		dirty:        map[string]*job{},
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -3,14 +3,19 @@
 import (
 	"slices"
 	"time"
-
-	"mustardreach.example/mustardreach/internal/request/work"
 )
 
 // choose picks the worker for a task: where its data is, then the one that is
 // left with the least room, so that large tasks still find a place. Tasks that
 // serve users are spread instead, and fillers go where most is left unused.
 func (b *Board) choose(step *stepState, t *task, pool []*workerState, now time.Time) *workerState {
+	if held, ok := b.reservations[t.key]; ok {
+		w := b.workers[held.worker]
+		if w != nil && slices.Contains(pool, w) && held.size.Within(w.Capacity.Minus(w.used)) && b.suits(w, step, t) {
+			return w
+		}
+		return nil
+	}
 	var best *workerState
 	var bestScore float64
 	for _, w := range pool {
@@ -26,28 +31,19 @@
 }
 
 func (b *Board) fits(w *workerState, step *stepState, t *task) bool {
+	return roomOf(step.spec).Within(w.free()) && b.suits(w, step, t)
+}
+
+// suits tells whether the task may run on the worker, room apart.
+func (b *Board) suits(w *workerState, step *stepState, t *task) bool {
 	spec := step.spec
-	if !roomOf(spec).Within(w.Capacity.Minus(w.used)) {
-		return false
-	}
 	if spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
 		return false
 	}
-	if spec.Filler && (b.unused(w) < spec.Size.MilliCores || b.clash(w, spec.Image, spec.Size.MilliCores) > mostClash) {
+	if spec.Filler && (w.idle < spec.Size.MilliCores || b.clash(w, spec.Image, spec.Size.MilliCores) > mostClash) {
 		return false
 	}
-	return spec.Spread == 0 || b.onWorker(w, t.key) < spec.Spread
-}
-
-// onWorker counts the runs of the key's step and occurrence on a worker.
-func (b *Board) onWorker(w *workerState, key work.TaskKey) int {
-	count := 0
-	for other := range w.claims {
-		if other.Job == key.Job && other.Step == key.Step && other.Occurrence == key.Occurrence {
-			count++
-		}
-	}
-	return count
+	return spec.Spread == 0 || w.steps[stepOf(t.key)] < spec.Spread
 }
 
 // Weights of the choice. Each is far above the next, so that they decide in
@@ -80,7 +76,7 @@
 	left := ratio(free.MilliCores, w.Capacity.MilliCores)
 	switch {
 	case spec.Filler:
-		return score + ratio(b.unused(w), w.Capacity.MilliCores) - weightClash*b.clash(w, spec.Image, spec.Size.MilliCores)
+		return score + ratio(w.idle, w.Capacity.MilliCores) - weightClash*b.clash(w, spec.Image, spec.Size.MilliCores)
 	case spec.TailTarget > 0:
 		return score + left + weightKin*b.kin(w, spec.Image)
 	}
@@ -98,42 +94,18 @@
 // use when fillers are placed beside it.
 const servingShare = 0.6
 
-// unused is the processor time that nothing on the worker is reckoned to use.
-func (b *Board) unused(w *workerState) int64 {
-	left := w.Capacity.MilliCores
-	for key, held := range w.claims {
-		switch {
-		case held.filler:
-			if j := b.jobs[key.Job]; j != nil {
-				left -= j.work.Steps[key.Step].Size.MilliCores
-			}
-		case held.serving:
-			left -= int64(servingShare * float64(held.size.MilliCores))
-		default:
-			left -= held.size.MilliCores
-		}
-	}
-	return left
-}
-
 // kin is the part of the worker's serving tasks that are of the image. Serving
 // images are kept together, so that a filler which only some of them can bear
 // still finds workers without those.
 func (b *Board) kin(w *workerState, image string) float64 {
-	same, others := 0.0, 0.0
-	for _, held := range w.claims {
-		switch {
-		case !held.serving:
-		case held.image == image:
-			same++
-		default:
-			others++
-		}
+	all := 0
+	for _, count := range w.serving {
+		all += count
 	}
-	if same+others == 0 {
+	if all == 0 {
 		return 0
 	}
-	return (same - others) / (same + others)
+	return float64(2*w.serving[image]-all) / float64(all)
 }
 
 // placeGang starts all tasks of a step at once, or none.
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -15,6 +15,8 @@
 	b.now = now
 	b.Expire(now)
 	b.restop()
+	b.drain(now)
+	b.dropReservations(now)
 	if allowed && !b.fenced {
 		b.place(now)
 	}
@@ -51,9 +53,11 @@
 
 // rank orders jobs: lower goes first, field by field.
 type rank struct {
-	// class is 0 for lasting tasks, whose absence costs from the first moment,
-	// then the queue's priority.
-	class int
+	// priority is the queue's.
+	priority int
+	// lasting jobs hold their room for long and earn little with it: quick ones
+	// of the same priority go first.
+	lasting bool
 	// late jobs have missed their objective and earn little.
 	late bool
 	// slack is the time left after what the job still has to do.
@@ -62,8 +66,13 @@
 
 func compareRanks(a, c candidate) int {
 	switch {
-	case a.rank.class != c.rank.class:
-		return cmp.Compare(a.rank.class, c.rank.class)
+	case a.rank.priority != c.rank.priority:
+		return cmp.Compare(a.rank.priority, c.rank.priority)
+	case a.rank.lasting != c.rank.lasting:
+		if a.rank.lasting {
+			return 1
+		}
+		return -1
 	case a.rank.late != c.rank.late:
 		if a.rank.late {
 			return 1
@@ -76,18 +85,16 @@
 }
 
 func (b *Board) rankOf(j *job, now time.Time) rank {
-	class := 1
-	if queue, ok := b.catalog.Queues[j.work.Queue]; ok {
-		class = 1 + queue.Priority
-	}
-	if j.work.Lasting() {
-		class = 0
+	if j.stale {
+		j.todo, j.stale = b.remaining(j), false
 	}
-	slack := j.objective.Sub(now) - b.remaining(j)
+	slack := j.objective.Sub(now) - j.todo
+	lasting := j.work.Lasting()
 	return rank{
-		class: class,
-		late:  slack < 0 && class > 0,
-		slack: slack,
+		priority: j.priority,
+		lasting:  lasting,
+		late:     slack < 0 && !lasting,
+		slack:    slack,
 	}
 }
 
@@ -169,7 +176,9 @@
 
 func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, full []worker.Size, now time.Time) []worker.Size {
 	need := roomOf(step.spec)
-	if step.spec.Label == "" && step.spec.Spread == 0 && hopeless(need, full) {
+	urgent := b.urgent(j)
+	plain := step.spec.Label == "" && step.spec.Spread == 0 && !step.spec.Filler
+	if plain && !urgent && hopeless(need, full) {
 		return full
 	}
 	for _, t := range step.tasks {
@@ -177,17 +186,26 @@
 			continue
 		}
 		w := b.choose(step, t, pool, now)
-		if w == nil {
-			if step.spec.Label == "" && step.spec.Spread == 0 && t.avoid == "" {
-				full = append(full, need)
-			}
+		switch {
+		case w != nil:
+			b.start(w, j, step, t, b.nextRun(), now)
+		case urgent:
+			b.reserve(j, step, t, pool, now)
+		case plain:
+			return append(full, need)
+		default:
 			return full
 		}
-		b.start(w, j, step, t, b.nextRun(), now)
 	}
 	return full
 }
 
+// urgent jobs are quick ones of the highest priority: others make way for them.
+func (b *Board) urgent(j *job) bool {
+	queue, ok := b.catalog.Queues[j.work.Queue]
+	return ok && queue.Priority == 0 && !j.work.Lasting()
+}
+
 // hopeless tells whether a smaller size has found no room already.
 func hopeless(need worker.Size, full []worker.Size) bool {
 	for _, size := range full {
--- a/internal/process/schedule/ends.go
+++ b/internal/process/schedule/ends.go
@@ -84,8 +84,7 @@
 		if t.phase == claimed {
 			if w := b.workers[t.worker]; w != nil {
 				if held := w.claims[t.key]; held != nil {
-					delete(w.claims, t.key)
-					w.used = w.used.Minus(held.size)
+					w.unbook(t.key, held)
 				}
 			}
 			j.claims--
--- a/internal/process/schedule/health.go
+++ b/internal/process/schedule/health.go
@@ -19,7 +19,7 @@
 	// twenty failing, one worker in four hundred would be.
 	sickFailures = 2
 	firstPause   = 2 * time.Second
-	longestPause = 16 * time.Second
+	longestPause = 4 * time.Second
 )
 
 func (h *health) suspect() bool {
--- a/internal/process/schedule/interference.go
+++ b/internal/process/schedule/interference.go
@@ -129,19 +129,14 @@
 // servingPercent is the progress at which a lasting task serves.
 const servingPercent = 100
 
-// clash is the worst pressure that a filler would add on the worker, on top of
-// what presses there already.
+// clash is the worst pressure that a filler would add to a tail on the worker.
 func (b *Board) clash(w *workerState, image string, milliCores int64) float64 {
 	worst := 0.0
-	for _, held := range w.claims {
-		if !held.serving {
-			continue
-		}
-		added := b.interference.press[pair{
-			serving: held.image,
+	for serving := range w.serving {
+		worst = max(worst, b.interference.press[pair{
+			serving: serving,
 			filler:  image,
-		}] * ratio(milliCores, w.Capacity.MilliCores)
-		worst = max(worst, added)
+		}])
 	}
-	return worst
+	return worst * ratio(milliCores, w.Capacity.MilliCores)
 }
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -73,6 +73,13 @@
 	// claims counts tasks that have a claim.
 	claims int
 
+	// todo is the longest chain of steps that have tasks waiting; stale when
+	// a step has moved on since it was reckoned.
+	todo  time.Duration
+	stale bool
+	// priority is the queue's, 0 goes first.
+	priority int
+
 	// version rises with each change of the progress; durable is the newest
 	// version in the store, sent the newest on its way.
 	version, durable, sent int64
@@ -95,8 +102,9 @@
 		j.inherited = b.token
 	}
 	if queue, ok := b.catalog.Queues[spec.Queue]; ok {
-		j.attempts = queue.MaxAttempts
+		j.attempts, j.priority = queue.MaxAttempts, queue.Priority
 	}
+	j.stale = true
 	j.build(now, timeOfDay)
 	if progress != nil {
 		j.restore(progress)
@@ -172,6 +180,7 @@
 		step.waiting--
 	}
 	t.phase = done
+	j.stale = true
 	step.left--
 	one.left--
 	j.left--
--- /dev/null
+++ b/internal/process/schedule/preempt.go
@@ -0,0 +1,144 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// reservation keeps room on a worker for a task that others make way for.
+type reservation struct {
+	worker string
+	size   worker.Size
+	until  time.Time
+}
+
+const (
+	// reservationTerm is how long room is kept: a stop and two looks.
+	reservationTerm = time.Second
+	// mostReserves bounds the searches of one decision, which go through all runs.
+	mostReserves = 2
+	// costLost weighs work that is thrown away against work that is saved and
+	// only has to be resumed.
+	costLost = 10.0
+)
+
+// reserve makes lower-ranked work give way to a task that fits nowhere. Load
+// pattern: batch work has filled every worker in small pieces, and a lasting
+// task or a quick answer that needs a larger one finds none.
+func (b *Board) reserve(j *job, step *stepState, t *task, pool []*workerState, now time.Time) {
+	if _, ok := b.reservations[t.key]; ok {
+		return
+	}
+	if b.reserveLeft == 0 {
+		return
+	}
+	b.reserveLeft--
+	var best *workerState
+	var victims []work.TaskKey
+	bestCost := 0.0
+	for _, w := range pool {
+		if !b.suits(w, step, t) {
+			continue
+		}
+		chosen, cost, ok := b.victims(w, j.priority, roomOf(step.spec), now)
+		if ok && (best == nil || cost < bestCost) {
+			best, victims, bestCost = w, chosen, cost
+		}
+	}
+	if best == nil {
+		return
+	}
+	b.reservations[t.key] = reservation{
+		worker: best.ID,
+		size:   roomOf(step.spec),
+		until:  now.Add(reservationTerm),
+	}
+	best.reserved = best.reserved.Plus(roomOf(step.spec))
+	for _, key := range victims {
+		b.stop(best.ID, key, best.claims[key].run, "gives_way")
+	}
+}
+
+// victims picks the cheapest runs of a lower priority that make enough room.
+func (b *Board) victims(w *workerState, priority int, need worker.Size, now time.Time) ([]work.TaskKey, float64, bool) {
+	type victim struct {
+		key  work.TaskKey
+		size worker.Size
+		cost float64
+	}
+	free := w.free()
+	var all []victim
+	for key, held := range w.claims {
+		j := b.open[key.Job]
+		switch {
+		case !held.stopping.IsZero() || j == nil:
+			free = free.Plus(held.size) // on its way out
+		case held.filler || !held.sure || j.priority <= priority:
+		default:
+			all = append(all, victim{
+				key:  key,
+				size: held.size,
+				cost: b.stopCost(j, key, held, now),
+			})
+		}
+	}
+	slices.SortFunc(all, func(a, c victim) int { return cmp.Compare(a.cost, c.cost) })
+	var chosen []work.TaskKey
+	cost := 0.0
+	for _, one := range all {
+		if need.Within(free) {
+			break
+		}
+		free = free.Plus(one.size)
+		cost += one.cost
+		chosen = append(chosen, one.key)
+	}
+	return chosen, cost, need.Within(free)
+}
+
+// stopCost is the core-seconds that a stop throws away.
+func (b *Board) stopCost(j *job, key work.TaskKey, held *claim, now time.Time) float64 {
+	const milli = 1000
+	cores := float64(held.size.MilliCores) / milli
+	if j.work.Steps[key.Step].Checkpoints {
+		return cores
+	}
+	return cores * (1 + costLost*now.Sub(held.started).Seconds())
+}
+
+// dropReservations ends those that have run out or whose task is placed.
+func (b *Board) dropReservations(now time.Time) {
+	b.reserveLeft = mostReserves
+	for key, held := range b.reservations {
+		j := b.open[key.Job]
+		waits := false
+		if j != nil {
+			_, _, t := j.find(key)
+			waits = t.phase == waiting
+		}
+		if waits && now.Before(held.until) {
+			continue
+		}
+		b.unreserve(key)
+	}
+}
+
+func (b *Board) unreserve(key work.TaskKey) {
+	held, ok := b.reservations[key]
+	if !ok {
+		return
+	}
+	delete(b.reservations, key)
+	if w := b.workers[held.worker]; w != nil {
+		w.reserved = w.reserved.Minus(held.size)
+	}
+}
+
+// free is the room that is neither booked nor kept for somebody.
+func (w *workerState) free() worker.Size {
+	return w.Capacity.Minus(w.used).Minus(w.reserved)
+}
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -49,7 +49,7 @@
 		out.Workers++
 		out.Capacity += w.Capacity.MilliCores
 		out.Booked += w.used.MilliCores
-		out.Unused += b.unused(w)
+		out.Unused += w.idle
 		memory += w.Capacity.MemoryBytes
 		booked += w.used.MemoryBytes
 	}
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -80,6 +80,11 @@
 	leaseEnd time.Time
 	claims   map[work.TaskKey]*claim
 	used     worker.Size
+	// idle are the thousandths of cores that nothing is reckoned to use.
+	idle int64
+	// serving counts serving runs by image, steps runs by step.
+	serving map[string]int
+	steps   map[stepKey]int
 	// seen is the highest end that was processed; ends wait until durable.
 	seen int64
 	ends []pendingEnd
@@ -88,10 +93,30 @@
 	health   health
 	// blockedUntil keeps new tasks away after a refusal.
 	blockedUntil time.Time
+	// reserved is room kept for tasks that others make way for.
+	reserved worker.Size
+	// drainSeen is when it was first known to drain; closed that it has ended
+	// the connection since it was heard.
+	drainSeen time.Time
+	closed    bool
 	// paced is when the pace of a filler was last changed.
 	paced time.Time
 }
 
+// stepKey names a step of one occurrence of a job.
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+func stepOf(key work.TaskKey) stepKey {
+	return stepKey{
+		job:        key.Job,
+		occurrence: key.Occurrence,
+		step:       key.Step,
+	}
+}
+
 // pendingEnd is an end whose effect may not be in the store yet.
 type pendingEnd struct {
 	number  int64
@@ -110,6 +135,7 @@
 		if !listing.Born.IsZero() && !w.life.IsZero() && listing.Born.After(w.life) {
 			b.reborn(w, listing.Born, now)
 		}
+		w.idle += listing.Capacity.MilliCores - w.Capacity.MilliCores
 		w.Listing = listing
 		w.listed = true
 	}
@@ -120,6 +146,11 @@
 		if w.listed || !steady {
 			w.listed, w.unlisted = false, now
 		}
+		if b.left(w) {
+			b.lost(w, now)
+			delete(b.workers, id)
+			continue
+		}
 		if now.After(w.leaseEnd) && now.Sub(w.unlisted) > b.config.ListGrace && !w.reachable {
 			b.lost(w, now)
 			delete(b.workers, id)
@@ -132,6 +163,9 @@
 		Listing:  listing,
 		unlisted: now,
 		claims:   map[work.TaskKey]*claim{},
+		idle:     listing.Capacity.MilliCores,
+		serving:  map[string]int{},
+		steps:    map[stepKey]int{},
 		leaseEnd: b.doubtEnd(),
 	}
 	b.workers[listing.ID] = w
@@ -251,7 +285,7 @@
 	case inventory.Born.Before(w.life):
 		return nil // an answer of a former life that was overtaken
 	}
-	w.heardUnder, w.heard, w.reachable = b.token, now, true
+	w.heardUnder, w.heard, w.reachable, w.closed = b.token, now, true, false
 	news := b.takeEnds(w, inventory.Ended, now)
 	b.takeRunning(w, inventory, now)
 	b.observeTails(w)
@@ -366,8 +400,8 @@
 	if spec.Filler {
 		held.size.MilliCores = 0
 	}
-	w.claims[t.key] = held
-	w.used = w.used.Plus(held.size)
+	w.book(t.key, held)
+	b.unreserve(t.key)
 	if t.phase == waiting {
 		step.waiting--
 	}
@@ -376,14 +410,47 @@
 	return held
 }
 
+// book and unbook keep the sums over a worker's claims.
+func (w *workerState) book(key work.TaskKey, held *claim) {
+	w.claims[key] = held
+	w.used = w.used.Plus(held.size)
+	w.idle -= held.reckoned()
+	w.steps[stepOf(key)]++
+	if held.serving {
+		w.serving[held.image]++
+	}
+}
+
+func (w *workerState) unbook(key work.TaskKey, held *claim) {
+	delete(w.claims, key)
+	w.used = w.used.Minus(held.size)
+	w.idle += held.reckoned()
+	if w.steps[stepOf(key)]--; w.steps[stepOf(key)] == 0 {
+		delete(w.steps, stepOf(key))
+	}
+	if !held.serving {
+		return
+	}
+	if w.serving[held.image]--; w.serving[held.image] == 0 {
+		delete(w.serving, held.image)
+	}
+}
+
+// reckoned is the processor time that a run is thought to use.
+func (c *claim) reckoned() int64 {
+	if c.serving {
+		return int64(servingShare * float64(c.wants))
+	}
+	return c.wants
+}
+
 // release ends a claim; the task waits again unless its job is over.
 func (b *Board) release(w *workerState, key work.TaskKey, now time.Time) {
 	held := w.claims[key]
 	if held == nil {
 		return
 	}
-	delete(w.claims, key)
-	w.used = w.used.Minus(held.size)
+	w.unbook(key, held)
 	j := b.jobs[key.Job]
 	if j == nil {
 		return
@@ -401,7 +468,7 @@
 // Expire frees what ran on workers whose leases are certainly over.
 func (b *Board) Expire(now time.Time) {
 	for _, w := range b.workers {
-		if len(w.claims) > 0 && !w.reachable && now.After(w.leaseEnd) {
+		if len(w.claims) > 0 && !w.reachable && (now.After(w.leaseEnd) || b.left(w)) {
 			b.lost(w, now)
 		}
 	}
@@ -411,7 +478,7 @@
 // workers of a service without our knowing.
 func (b *Board) settled(service string, now time.Time) bool {
 	for _, w := range b.workers {
-		if w.Service == service && w.heardUnder != b.token && now.Before(w.leaseEnd) {
+		if w.Service == service && w.heardUnder != b.token && now.Before(w.leaseEnd) && !b.left(w) {
 			return false
 		}
 	}
