Order by worth for each core-second left

Cause: with more work than room, least slack makes every job a little late. Change: among jobs that can still be in time, the worth for each core-second left decides; lasting tasks may try sick workers.

--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -60,8 +60,9 @@
 	lasting bool
 	// late jobs have missed their objective and earn little.
 	late bool
-	// slack is the time left after what the job still has to do.
-	slack time.Duration
+	// density is what the job is worth for each core-second that it still
+	// needs: with more work than room, small jobs and those nearly done first.
+	density float64
 }
 
 func compareRanks(a, c candidate) int {
@@ -78,15 +79,15 @@
 			return 1
 		}
 		return -1
-	case a.rank.slack != c.rank.slack:
-		return cmp.Compare(a.rank.slack, c.rank.slack)
+	case a.rank.density != c.rank.density:
+		return cmp.Compare(c.rank.density, a.rank.density)
 	}
 	return cmp.Compare(a.job.work.ID, c.job.work.ID)
 }
 
 func (b *Board) rankOf(j *job, now time.Time) rank {
 	if j.stale {
-		j.todo, j.stale = b.remaining(j), false
+		j.todo, j.density, j.stale = b.remaining(j), b.density(j), false
 	}
 	slack := j.objective.Sub(now) - j.todo
 	lasting := j.work.Lasting()
@@ -94,7 +95,7 @@
 		priority: j.priority,
 		lasting:  lasting,
 		late:     slack < 0 && !lasting,
-		slack:    slack,
+		density:  j.density,
 	}
 }
 
@@ -111,14 +112,17 @@
 	}
 	slices.SortFunc(waiting, compareRanks)
 	full := map[string][]worker.Size{}
-	pools := map[string][]*workerState{}
+	pools := map[poolKey][]*workerState{}
 	for _, one := range waiting {
-		service := b.serviceOf(one.job)
-		if _, ok := pools[service]; !ok {
-			pools[service] = b.pool(service, now)
+		key := poolKey{
+			service: b.serviceOf(one.job),
+			lasting: one.rank.lasting,
 		}
-		if len(pools[service]) > 0 {
-			full[service] = b.placeJob(one.job, pools[service], full[service], now)
+		if _, ok := pools[key]; !ok {
+			pools[key] = b.pool(key, now)
+		}
+		if len(pools[key]) > 0 {
+			full[key.service] = b.placeJob(one.job, pools[key], full[key.service], now)
 		}
 	}
 }
@@ -137,11 +141,18 @@
 	return true
 }
 
-// pool is the workers of a service that may be given tasks now.
-func (b *Board) pool(service string, now time.Time) []*workerState {
+// poolKey names the workers of a service for a kind of job.
+type poolKey struct {
+	service string
+	lasting bool
+}
+
+// pool is the workers that may be given tasks now. Lasting tasks may also try
+// sick ones, as their last choice: their failures are not counted.
+func (b *Board) pool(key poolKey, now time.Time) []*workerState {
 	var out []*workerState
 	for _, w := range b.workers {
-		if w.Service == service && b.usable(w, now) {
+		if w.Service == key.service && b.usable(w, now) && (key.lasting || w.health.trusted(now)) {
 			out = append(out, w)
 		}
 	}
@@ -151,7 +162,7 @@
 
 func (b *Board) usable(w *workerState, now time.Time) bool {
 	return w.listed && !w.Draining && w.reachable && w.heardUnder == b.token &&
-		!b.evacuated[w.Zone] && now.After(w.blockedUntil) && w.health.trusted(now)
+		!b.evacuated[w.Zone] && now.After(w.blockedUntil)
 }
 
 // placeJob starts what it can and returns the sizes that found no room.
--- a/internal/process/schedule/estimates.go
+++ b/internal/process/schedule/estimates.go
@@ -9,11 +9,14 @@
 // estimates corrects callers' guesses of run times by queue.
 type estimates struct {
 	factors map[string]float64
+	// work is the mean work of a job by queue.
+	work map[string]float64
 }
 
 func newEstimates() *estimates {
 	return &estimates{
 		factors: map[string]float64{},
+		work:    map[string]float64{},
 	}
 }
 
@@ -71,3 +74,52 @@
 	}
 	return longest
 }
+
+// A job's worth is this base, and the rest in proportion to its work against
+// the mean of its queue, up to a bound: as its users value it.
+const (
+	worthBase = 0.3
+	worthMost = 4.0
+)
+
+// wholeWork is all that the job has to do, in thousandths of core-seconds.
+func (b *Board) wholeWork(j *job) float64 {
+	whole := 0.0
+	for s := range j.work.Steps {
+		step := &j.work.Steps[s]
+		whole += b.estimates.of(j.work.Queue, step).Seconds() * float64(max(1, step.Size.MilliCores)) * float64(step.Count)
+	}
+	return whole * float64(j.work.Occurrences())
+}
+
+// density is the job's worth for each core-second that is left of it.
+func (b *Board) density(j *job) float64 {
+	whole, left := b.wholeWork(j), 0.0
+	for _, one := range j.occurrences {
+		for _, step := range one.steps {
+			each := b.estimates.of(j.work.Queue, step.spec).Seconds() * float64(max(1, step.spec.Size.MilliCores))
+			left += each * float64(step.left)
+		}
+	}
+	mean := b.estimates.meanWork(j.work.Queue, whole)
+	worth := min(worthMost, worthBase+(1-worthBase)*whole/mean)
+	return worth / max(1, left)
+}
+
+// meanWork is the running mean of the work of a queue's jobs.
+func (e *estimates) meanWork(queue string, work float64) float64 {
+	mean, ok := e.work[queue]
+	if !ok {
+		mean = max(1, work)
+	}
+	return mean
+}
+
+// noteWork takes a new job's work into the mean.
+func (e *estimates) noteWork(queue string, work float64) {
+	mean, ok := e.work[queue]
+	if !ok {
+		mean = max(1, work)
+	}
+	e.work[queue] = mean + learnRate*(work-mean)
+}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -75,8 +75,9 @@
 
 	// todo is the longest chain of steps that have tasks waiting; stale when
 	// a step has moved on since it was reckoned.
-	todo  time.Duration
-	stale bool
+	todo    time.Duration
+	density float64
+	stale   bool
 	// priority is the queue's, 0 goes first.
 	priority int
 
@@ -110,6 +111,7 @@
 		j.restore(progress)
 	}
 	j.objective = b.objective(j)
+	b.estimates.noteWork(spec.Queue, b.wholeWork(j))
 	b.jobs[spec.ID] = j
 	if j.progress.State.Final() {
 		j.ended = now
