Fillers known as harmless are not slowed

Cause: where nobody was known to press on a long tail, all fillers were slowed; serving tasks pass 0.9 of their target by their own load. Change: pairs seen often enough without effect are left alone.

--- a/internal/process/schedule/interference.go
+++ b/internal/process/schedule/interference.go
@@ -17,6 +17,8 @@
 // least mean squares from every look.
 type interference struct {
 	press map[pair]float64
+	// seen sums the shares of the samples of a pair.
+	seen map[pair]float64
 	// fadedAt is when unconfirmed knowledge was last made weaker.
 	fadedAt time.Time
 }
@@ -33,6 +35,12 @@
 	// after a few samples, and is forgiven slowly.
 	learnUp   = 0.3
 	learnDown = 0.03
+	// enoughSeen is the sum of shares after which a pair is known: some twenty
+	// samples of a filler of three cores on a worker of thirty-two.
+	enoughSeen = 2.0
+	// harmlessPress is the weight below which a filler of a tenth of the cores
+	// lengthens a tail by less than a tenth.
+	harmlessPress = 1.0
 	// shareFloor damps samples with hardly any filler, in squares of shares.
 	shareFloor = 0.01
 	// mostPress bounds a weight: at a tenth of the cores it is a tail of
@@ -47,9 +55,20 @@
 func newInterference() *interference {
 	return &interference{
 		press: map[pair]float64{},
+		seen:  map[pair]float64{},
 	}
 }
 
+// harmless tells whether a pair has been seen often enough, without effect, for
+// a long tail to be put down to the serving task's own load.
+func (f *interference) harmless(serving, filler string) bool {
+	key := pair{
+		serving: serving,
+		filler:  filler,
+	}
+	return f.seen[key] > enoughSeen && f.press[key] < harmlessPress
+}
+
 // learn takes one sample: a tail beside fillers with their shares by image.
 func (f *interference) learn(serving string, tail, target time.Duration, shares map[string]float64) {
 	if len(shares) == 0 || target <= 0 {
@@ -70,6 +89,7 @@
 			serving: serving,
 			filler:  filler,
 		}
+		f.seen[key] += share
 		f.press[key] = min(mostPress, max(0, f.press[key]+rate*miss*share/square))
 	}
 }
--- a/internal/process/schedule/pacing.go
+++ b/internal/process/schedule/pacing.go
@@ -73,6 +73,9 @@
 		if most >= knownPressure && b.presses(w, tail, held) < blame*most {
 			continue
 		}
+		if most < knownPressure && b.interference.harmless(tail.image, held.image) {
+			continue
+		}
 		percent := int(paceCut * float64(held.percent))
 		if percent < paceFloor || over && most >= knownPressure {
 			percent = 0
