--- a/internal/process/leader/reign.go
+++ b/internal/process/leader/reign.go
@@ -39,7 +39,6 @@
 
 	recording   bool
 	recordedAt  time.Time
-	dirtySince  time.Time
 	forgottenAt time.Time
 	roster      rosterState
 	writer      writer
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -61,6 +61,8 @@
 	estimates    *estimates
 	interference *interference
 	effects      Effects
+	// again are starts to be sent once more, if their claims still stand.
+	again []Start
 	// dirty are jobs whose progress is newer than its record.
 	dirty map[string]*job
 }
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -8,7 +8,7 @@
 // choose picks the worker for a task: where its data is, then the one that is
 // left with the least room, so that large tasks still find a place. Tasks that
 // serve users are spread instead, and fillers go where most is left unused.
-func (b *Board) choose(step *stepState, t *task, pool []*workerState, now time.Time) *workerState {
+func (b *Board) choose(step *stepState, t *task, pool []*workerState) *workerState {
 	if held, ok := b.reservations[t.key]; ok {
 		w := b.workers[held.worker]
 		if w != nil && slices.Contains(pool, w) && held.size.Within(w.Capacity.Minus(w.used)) && b.suits(w, step, t) {
@@ -120,7 +120,7 @@
 	run := b.nextRun()
 	chosen := make([]*workerState, 0, len(step.tasks))
 	for _, t := range step.tasks {
-		w := b.choose(step, t, pool, now)
+		w := b.choose(step, t, pool)
 		if w == nil {
 			break
 		}
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -15,6 +15,7 @@
 	b.now = now
 	b.Expire(now)
 	b.restop()
+	b.sendAgain()
 	b.drain(now)
 	b.dropReservations(now)
 	if allowed && !b.fenced {
@@ -24,9 +25,36 @@
 	b.control(now)
 	out := b.effects
 	b.effects = Effects{}
+	// Runs are kept in maps: the same inputs give the same orders all the same.
+	slices.SortFunc(out.Stops, func(a, c Stop) int {
+		return cmp.Or(cmp.Compare(a.Worker, c.Worker), compareKeys(a.Key, c.Key), cmp.Compare(a.Run, c.Run))
+	})
+	slices.SortFunc(out.Paces, func(a, c Pace) int {
+		return cmp.Or(cmp.Compare(a.Worker, c.Worker), compareKeys(a.Key, c.Key))
+	})
 	return out
 }
 
+func compareKeys(a, c work.TaskKey) int {
+	return cmp.Or(cmp.Compare(a.Job, c.Job), cmp.Compare(a.Occurrence, c.Occurrence),
+		cmp.Compare(a.Step, c.Step), cmp.Compare(a.Index, c.Index))
+}
+
+// sendAgain repeats starts that got no answer. A claim may have ended since, by
+// a worker that started anew: then the task may be elsewhere already.
+func (b *Board) sendAgain() {
+	for _, start := range b.again {
+		w := b.workers[start.Worker]
+		if w == nil {
+			continue
+		}
+		if held := w.claims[start.Key]; held != nil && held.run == start.Run && held.stopping.IsZero() {
+			b.effects.Starts = append(b.effects.Starts, start)
+		}
+	}
+	b.again = nil
+}
+
 // restop repeats stops that went unanswered.
 func (b *Board) restop() {
 	for _, w := range b.workers {
@@ -196,7 +224,7 @@
 		if t.phase != waiting || now.Before(t.notBefore) {
 			continue
 		}
-		w := b.choose(step, t, pool, now)
+		w := b.choose(step, t, pool)
 		switch {
 		case w != nil:
 			b.start(w, j, step, t, b.nextRun(), now)
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -296,7 +297,8 @@
 // only if all is true, each at most once until it fails.
 func (b *Board) Records(all bool, most int) []Record {
 	var out []Record
-	for id, j := range b.dirty {
+	for _, id := range slices.Sorted(maps.Keys(b.dirty)) {
+		j := b.dirty[id]
 		urgent := j.progress.State.Final()
 		if len(out) == most || (!urgent && !all) {
 			continue
--- a/internal/process/schedule/preempt.go
+++ b/internal/process/schedule/preempt.go
@@ -86,7 +86,7 @@
 			})
 		}
 	}
-	slices.SortFunc(all, func(a, c victim) int { return cmp.Compare(a.cost, c.cost) })
+	slices.SortFunc(all, func(a, c victim) int { return cmp.Or(cmp.Compare(a.cost, c.cost), compareKeys(a.key, c.key)) })
 	var chosen []work.TaskKey
 	cost := 0.0
 	for _, one := range all {
--- a/internal/process/schedule/replies.go
+++ b/internal/process/schedule/replies.go
@@ -34,7 +34,7 @@
 			j.progress.Began = true
 		}
 	case Unknown:
-		b.repeat(w, held, start, now)
+		b.repeat(w, held, start)
 	case Fenced:
 		b.fenced = true
 		b.release(w, start.Key, now)
@@ -44,10 +44,10 @@
 }
 
 // repeat sends a start again that got no answer: the worker takes it once.
-func (b *Board) repeat(w *workerState, held *claim, start Start, now time.Time) {
+func (b *Board) repeat(w *workerState, held *claim, start Start) {
 	held.retries++
 	if held.retries <= mostRetries && held.stopping.IsZero() && b.wanted(start.Key) {
-		b.effects.Starts = append(b.effects.Starts, start)
+		b.again = append(b.again, start)
 		return
 	}
 	b.stop(w.ID, start.Key, start.Run, "no_answer")
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -319,7 +319,7 @@
 			held = b.adopt(w, row, now)
 		}
 		if held != nil {
-			b.observe(w, held, row, inventory.Sent, now)
+			b.observe(held, row, inventory.Sent, now)
 		}
 	}
 	for key, held := range w.claims {
@@ -353,7 +353,7 @@
 	return held
 }
 
-func (b *Board) observe(w *workerState, held *claim, row RunningTask, sent, now time.Time) {
+func (b *Board) observe(held *claim, row RunningTask, sent, now time.Time) {
 	held.sure = true
 	held.confirmed = sent
 	if !held.barred.IsZero() && sent.After(held.barred.Add(stopRepeats*b.config.StopGrace)) {
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -113,22 +113,24 @@
 	case err == nil:
 		return Taken, revision, nil
 	case errors.As(err, &conflict):
-		return Taken, i.compare(conflict, value, job), nil
+		return Taken, i.found(conflict, value, job), nil
 	case errors.Is(err, store.ErrUnknown):
 		return Unknown, 0, err
 	}
 	return NotTaken, 0, err
 }
 
-// compare tells an own write found again from a second job of the same id.
-func (i *Intake) compare(conflict *store.ConflictError, value []byte, job *work.Job) int64 {
-	for _, item := range conflict.Items {
-		if !bytes.Equal(item.Value, value) {
-			klog.InfoS("job known already", "job", job.ID, "revision", item.Revision)
-		}
-		return item.Revision
+// found is the revision of the record that a job of the id has already. One
+// that differs is logged: a caller that uses an id again gets the first job.
+func (i *Intake) found(conflict *store.ConflictError, value []byte, job *work.Job) int64 {
+	if len(conflict.Items) == 0 {
+		return 0
+	}
+	first := conflict.Items[0]
+	if !bytes.Equal(first.Value, value) {
+		klog.InfoS("job known already", "job", job.ID, "revision", first.Revision)
 	}
-	return 0
+	return first.Revision
 }
 
 // write tries until the store has answered. Once a try has gone unanswered,
--- /dev/null
+++ b/internal/request/work/job_test.go
@@ -0,0 +1,149 @@
+package work
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
+)
+
+func step(after ...int) Step {
+	return Step{
+		Count: 2,
+		After: after,
+	}
+}
+
+func TestCheck(t *testing.T) {
+	tests := map[string]struct {
+		job  Job
+		want string
+	}{
+		"one step": {
+			job: Job{Steps: []Step{step()}},
+		},
+		"chain": {
+			job: Job{Steps: []Step{step(), step(0), step(0, 1)}},
+		},
+		"no steps": {
+			job:  Job{},
+			want: "no steps",
+		},
+		"cycle of one": {
+			job:  Job{Steps: []Step{step(0)}},
+			want: "not an earlier one",
+		},
+		"later step": {
+			job:  Job{Steps: []Step{step(1), step()}},
+			want: "not an earlier one",
+		},
+		"negative reference": {
+			job:  Job{Steps: []Step{step(-1)}},
+			want: "not an earlier one",
+		},
+		"spec too long": {
+			job:  Job{Spec: strings.Repeat("x", MostSpecBytes+1), Steps: []Step{step()}},
+			want: "the most is 4000",
+		},
+		"no tasks": {
+			job:  Job{Steps: []Step{{Count: 0}}},
+			want: "has 0 tasks",
+		},
+		"negative size": {
+			job:  Job{Steps: []Step{{Count: 1, Size: worker.Size{MilliCores: -1}}}},
+			want: "negative size",
+		},
+		"too many tasks": {
+			job:  Job{Steps: []Step{{Count: MostTasks}, {Count: 1}}},
+			want: "more than",
+		},
+		"too many tasks by repeats": {
+			job:  Job{Steps: []Step{{Count: 100}}, Repeat: MostTasks},
+			want: "more than",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := tt.job.Check()
+			if tt.want == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorIs(t, err, ErrInvalid)
+			assert.Contains(t, err.Error(), tt.want)
+		})
+	}
+}
+
+func TestTaskKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := TaskKey{
+			Job:        rapid.StringMatching("[0-9a-f]{16}").Draw(t, "job"),
+			Occurrence: rapid.IntRange(0, 1000).Draw(t, "occurrence"),
+			Step:       rapid.IntRange(0, 100).Draw(t, "step"),
+			Index:      rapid.IntRange(0, 10000).Draw(t, "index"),
+		}
+		again, err := ParseTaskKey(key.String())
+		require.NoError(t, err)
+		assert.Equal(t, key, again)
+	})
+	for _, bad := range []string{"", "a.b", "a.0.0", "a.0.0.x", "a.-1.0.0", "a.0.0.0.0"} {
+		_, err := ParseTaskKey(bad)
+		require.ErrorIs(t, err, ErrInvalid, bad)
+	}
+}
+
+func TestRecordsSurvive(t *testing.T) {
+	job := &Job{
+		ID:       "5c0e7a21d94b36f8",
+		Queue:    "quotes",
+		Service:  "workshop",
+		Spec:     "text",
+		Steps:    []Step{step(), step(0)},
+		Accepted: time.UnixMilli(1_700_000_000_123).UTC(),
+	}
+	value, err := EncodeJob(job)
+	require.NoError(t, err)
+	again, err := DecodeJob(value)
+	require.NoError(t, err)
+	assert.Equal(t, job.Accepted.UnixMilli(), again.Accepted.UnixMilli(), "milliseconds are kept")
+	again.Accepted, again.FirstRun = job.Accepted, job.FirstRun
+	assert.Equal(t, job, again)
+
+	progress := &Progress{
+		State:    Running,
+		Began:    true,
+		Done:     []byte{5},
+		Failures: map[int][]int64{1: {7, 9}},
+		Saved:    map[int]string{3: "mark"},
+	}
+	value, err = EncodeProgress(progress)
+	require.NoError(t, err)
+	read, err := DecodeProgress(value)
+	require.NoError(t, err)
+	assert.Equal(t, progress, read)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		if job, err := DecodeJob(value); err == nil {
+			_ = job.ChainEstimate(func(step *Step) time.Duration { return step.Estimate })
+		}
+		_, _ = DecodeProgress(value)
+	})
+}
+
+func TestChainEstimate(t *testing.T) {
+	job := Job{Steps: []Step{
+		{Count: 1, Estimate: time.Second},
+		{Count: 1, Estimate: 5 * time.Second},
+		{Count: 1, Estimate: 2 * time.Second, After: []int{0}},
+	}}
+	assert.Equal(t, 5*time.Second, job.ChainEstimate(func(step *Step) time.Duration { return step.Estimate }))
+}
