--- a/internal/process/standin/memory.go
+++ b/internal/process/standin/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sort"
 	"strings"
 	"sync"
@@ -24,15 +25,12 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 
-	// Fault is asked before each call with its name; an error is returned in
-	// its place. For a commit, ErrUnknown means that it takes effect all the
-	// same, unless Hold is set.
-	Fault func(call string) error
-	// Hold keeps commits with lost answers back until Release.
-	Hold bool
+	fault func(call string) error
+	// hold keeps commits with lost answers back until Release.
+	hold bool
 	held []store.Commit
-	// Clock tells when leases end.
-	Clock func() time.Time
+	// clock tells when leases end.
+	clock func() time.Time
 }
 
 // NewMemory returns an empty store.
@@ -43,8 +41,8 @@
 		terms:    map[int64]time.Duration{},
 		revision: 1,
 		changed:  make(chan struct{}),
-		Fault:    func(string) error { return nil },
-		Clock:    clock,
+		fault:    func(string) error { return nil },
+		clock:    clock,
 	}
 }
 
@@ -60,6 +58,22 @@
 	}
 }
 
+// SetFault sets what is asked before each call with its name; an error is
+// returned in the call's place. For a commit, ErrUnknown means that it takes
+// effect all the same, at once or, with hold, when Release is called.
+func (m *Memory) SetFault(fault func(call string) error, hold bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault, m.hold = fault, hold
+}
+
+func (m *Memory) trouble(call string) error {
+	m.mu.Lock()
+	fault := m.fault
+	m.mu.Unlock()
+	return fault(call)
+}
+
 // Compact forgets the history.
 func (m *Memory) Compact() {
 	m.mu.Lock()
@@ -87,7 +101,7 @@
 }
 
 func (m *Memory) expire() {
-	now := m.Clock()
+	now := m.clock()
 	for lease, end := range m.leases {
 		if now.After(end) {
 			m.endLease(lease)
@@ -123,7 +137,7 @@
 }
 
 func (m *Memory) get(_ context.Context, key string) (store.Item, error) {
-	if err := m.Fault("get"); err != nil {
+	if err := m.trouble("get"); err != nil {
 		return store.Item{}, err
 	}
 	m.mu.Lock()
@@ -137,7 +151,7 @@
 }
 
 func (m *Memory) list(_ context.Context, prefix string) (store.Listing, error) {
-	if err := m.Fault("list"); err != nil {
+	if err := m.trouble("list"); err != nil {
 		return store.Listing{}, err
 	}
 	m.mu.Lock()
@@ -159,7 +173,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		if err := m.Fault("watch"); err != nil {
+		if err := m.trouble("watch"); err != nil {
 			return store.Changes{}, err
 		}
 		m.mu.Lock()
@@ -192,15 +206,15 @@
 }
 
 func (m *Memory) commit(_ context.Context, commit store.Commit) (int64, error) {
-	err := m.Fault("commit")
+	err := m.trouble("commit")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire()
 	switch {
-	case err == store.ErrUnknown && m.Hold:
+	case errors.Is(err, store.ErrUnknown) && m.hold:
 		m.held = append(m.held, commit)
 		return 0, err
-	case err == store.ErrUnknown:
+	case errors.Is(err, store.ErrUnknown):
 		_, _ = m.apply(commit) // the answer is lost, whatever it was
 		return 0, err
 	case err != nil:
@@ -260,18 +274,18 @@
 }
 
 func (m *Memory) grant(_ context.Context, term time.Duration) (int64, error) {
-	if err := m.Fault("grant"); err != nil {
+	if err := m.trouble("grant"); err != nil {
 		return 0, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lease++
-	m.leases[m.lease], m.terms[m.lease] = m.Clock().Add(term), term
+	m.leases[m.lease], m.terms[m.lease] = m.clock().Add(term), term
 	return m.lease, nil
 }
 
 func (m *Memory) keep(_ context.Context, lease int64) error {
-	if err := m.Fault("keep"); err != nil {
+	if err := m.trouble("keep"); err != nil {
 		return err
 	}
 	m.mu.Lock()
@@ -280,6 +294,6 @@
 	if _, ok := m.leases[lease]; !ok {
 		return store.ErrNoLease
 	}
-	m.leases[lease] = m.Clock().Add(m.terms[lease])
+	m.leases[lease] = m.clock().Add(m.terms[lease])
 	return nil
 }
