--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -285,6 +285,10 @@
 	case inventory.Born.Before(w.life):
 		return nil // an answer of a former life that was overtaken
 	}
+	if w.heardUnder != b.token {
+		// From here on nobody else can extend what runs there.
+		w.leaseEnd = now.Add(b.longestLease())
+	}
 	w.heardUnder, w.heard, w.reachable, w.closed = b.token, now, true, false
 	news := b.takeEnds(w, inventory.Ended, now)
 	b.takeRunning(w, inventory, now)
