--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -210,11 +210,12 @@
 	return <-answers
 }
 
-func (s *site) wait(one *Leader, id string, want work.State) {
+// wait returns once the job is shown as completed.
+func (s *site) wait(one *Leader, id string) {
 	s.t.Helper()
 	require.Eventually(s.t, func() bool {
 		answer := state(one, id)
-		return answer.Known && answer.State == want
+		return answer.Known && answer.State == work.Completed
 	}, patience, 5*time.Millisecond)
 }
 
@@ -222,7 +223,7 @@
 	one := newSite(t)
 	leading, _ := one.lead("recife-1")
 	one.submit("a")
-	one.wait(leading, "a", work.Completed)
+	one.wait(leading, "a")
 	item, err := one.store.Client().Get(context.Background(), StateKey("a"))
 	require.NoError(t, err)
 	progress, err := work.DecodeProgress(item.Value)
@@ -234,12 +235,12 @@
 	one := newSite(t)
 	first, end := one.lead("recife-1")
 	one.submit("a")
-	one.wait(first, "a", work.Completed)
+	one.wait(first, "a")
 	end()
 	second, _ := one.lead("olinda-1")
 	one.submit("b")
-	one.wait(second, "b", work.Completed)
-	one.wait(second, "a", work.Completed)
+	one.wait(second, "b")
+	one.wait(second, "a")
 	for index := range 2 {
 		assert.Equal(t, 1, one.workers.started(work.TaskKey{Job: "a", Index: index}))
 	}
@@ -249,7 +250,7 @@
 	one := newSite(t)
 	first, _ := one.lead("recife-1")
 	one.submit("a")
-	one.wait(first, "a", work.Completed)
+	one.wait(first, "a")
 	second, _ := one.lead("olinda-1")
 	begun := time.Now()
 	first.Resign(context.Background())
@@ -264,7 +265,7 @@
 	one := newSite(t)
 	leading, _ := one.lead("recife-1")
 	one.submit("a")
-	one.wait(leading, "a", work.Completed)
+	one.wait(leading, "a")
 
 	one.store.SetFault(func(call string) error {
 		if call == "commit" {
@@ -292,7 +293,7 @@
 	require.Eventually(t, func() bool { return one.workers.started(work.TaskKey{Job: "b"}) == 1 }, patience, time.Millisecond)
 	time.Sleep(3 * gatherRest) // commits of progress are held back meanwhile
 	one.store.SetFault(func(string) error { return nil }, false)
-	one.wait(leading, "b", work.Completed)
+	one.wait(leading, "b")
 	before, err := one.store.Client().Get(context.Background(), StateKey("b"))
 	require.NoError(t, err)
 	one.store.Release()
@@ -307,9 +308,9 @@
 	one := newSite(t)
 	leading, _ := one.lead("recife-1")
 	one.submit("a")
-	one.wait(leading, "a", work.Completed)
+	one.wait(leading, "a")
 	one.store.Lapse()
 	one.submit("b")
-	one.wait(leading, "b", work.Completed)
-	one.wait(leading, "a", work.Completed)
+	one.wait(leading, "b")
+	one.wait(leading, "a")
 }
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -43,10 +43,9 @@
 	return board
 }
 
-func hear(board *Board, id string, now time.Time, ended ...EndedTask) {
+func hear(board *Board, id string, now time.Time) {
 	inventory := Inventory{
 		Born:     testBorn,
-		Ended:    ended,
 		Sent:     now,
 		Received: now,
 	}
