Fillers reckon with serving tasks at 0.45 of their cores

Cause: cutting plans waited with all cores reckoned in use, while serving tasks use about half of theirs.

--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -92,7 +92,7 @@
 
 // servingShare is the part of a serving task's cores that it is reckoned to
 // use when fillers are placed beside it.
-const servingShare = 0.6
+const servingShare = 0.45
 
 // kin is the part of the worker's serving tasks that are of the image. Serving
 // images are kept together, so that a filler which only some of them can bear
