Moving disturbing fillers, fewer calls at a time, cheaper decisions

Ruled out: the garbage collector (30 MB, a few collections a second), the store (its answers took 5 ms).

--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -113,13 +113,15 @@
 	// ring bounds the events that wait for the loop.
 	ring = 4096
 	// mostCalls bounds the orders under way at a time.
-	mostCalls = 256
+	// Few, so that each is answered well within its timeout on a small host;
+	// the rest wait their turn without a timer running.
+	mostCalls = 32
 	// summaryInterval is how often the state of the schedule is logged.
 	summaryInterval = time.Second
 	// tick is the longest time between two decisions.
 	tick = 100 * time.Millisecond
 	// decideGap is the least time between two decisions.
-	decideGap = 10 * time.Millisecond
+	decideGap = 15 * time.Millisecond
 	// pruneInterval is the least time between two writes that only take workers
 	// off the roster.
 	pruneInterval = time.Second
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -80,22 +80,28 @@
 		if one.anew {
 			seen, wait = 0, 0
 		}
+		lease := Lease{
+			Token: r.token,
+		}
+		if !one.lost {
+			lease = r.leaseFor(one, now)
+		}
 		one.busy = true
 		one.looks <- Look{
-			Lease:    r.leaseFor(one, now),
+			Lease:    lease,
 			LastSeen: seen,
 			Wait:     wait,
 		}
 	}
 }
 
-// leaseFor is the longest lease that may be asked for now. A worker that does
-// not answer is asked for none: what runs there has to be over some day.
+// leaseFor is the longest lease that may be asked for now. A look at a worker
+// that does not answer asks for none: what runs there has to be over some day.
 func (r *reign) leaseFor(one *link, now time.Time) Lease {
 	lease := Lease{
 		Token: r.token,
 	}
-	if one.clock > 0 && !one.lost {
+	if one.clock > 0 {
 		lease.Until = one.clock + now.Sub(one.clockAt) + r.leader.config.Board.LeaseTerm
 		r.leader.board.Extended(one.target.ID, now)
 	}
--- /dev/null
+++ b/internal/process/schedule/bench_test.go
@@ -0,0 +1,60 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// crowdedBoard has far more work than room: 48 workers, 250 jobs of both kinds.
+func crowdedBoard() *Board {
+	ids := make([]string, 48)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("w%02d", i)
+	}
+	board := testBoard(ids...)
+	for i := range 250 {
+		step := work.Step{
+			Count: 12,
+			Size: worker.Size{
+				MilliCores:  2500,
+				MemoryBytes: 1 << 20,
+			},
+			Estimate:    2 * time.Second,
+			Checkpoints: true,
+			Filler:      i%2 == 0,
+			Image:       fmt.Sprintf("image%d", i%9),
+		}
+		queue := "plans"
+		switch {
+		case i%10 == 1:
+			queue = "quotes"
+		case i%10 == 3:
+			queue, step.Lasting, step.TailTarget = "quotes", true, time.Second
+		}
+		board.AddJob(testJob(fmt.Sprintf("%016d", i), queue, step), nil, false, testBegun, testBegun)
+	}
+	accept(board, board.Decide(testBegun, true), testBegun)
+	return board
+}
+
+func BenchmarkDecideCrowded(b *testing.B) {
+	board := crowdedBoard()
+	now := testBegun
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		board.Decide(now, true)
+	}
+}
+
+func BenchmarkHeard(b *testing.B) {
+	board := crowdedBoard()
+	b.ReportAllocs()
+	for b.Loop() {
+		hear(board, "w00", testBegun)
+	}
+}
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -43,16 +43,23 @@
 // sendAgain repeats starts that got no answer. A claim may have ended since, by
 // a worker that started anew: then the task may be elsewhere already.
 func (b *Board) sendAgain() {
+	var later []Start
 	for _, start := range b.again {
 		w := b.workers[start.Worker]
 		if w == nil {
 			continue
 		}
-		if held := w.claims[start.Key]; held != nil && held.run == start.Run && held.stopping.IsZero() {
+		held := w.claims[start.Key]
+		switch {
+		case held == nil || held.run != start.Run || !held.stopping.IsZero():
+		case !w.reachable:
+			// It would extend the leases of what runs there.
+			later = append(later, start)
+		default:
 			b.effects.Starts = append(b.effects.Starts, start)
 		}
 	}
-	b.again = nil
+	b.again = later
 }
 
 // restop repeats stops that went unanswered.
@@ -139,7 +146,7 @@
 		}
 	}
 	slices.SortFunc(waiting, compareRanks)
-	full := map[string][]worker.Size{}
+	full := map[string]*shortage{}
 	pools := map[poolKey][]*workerState{}
 	for _, one := range waiting {
 		key := poolKey{
@@ -149,12 +156,54 @@
 		if _, ok := pools[key]; !ok {
 			pools[key] = b.pool(key, now)
 		}
+		if full[key.service] == nil {
+			full[key.service] = &shortage{
+				fillers: map[string]int64{},
+			}
+		}
 		if len(pools[key]) > 0 {
-			full[key.service] = b.placeJob(one.job, pools[key], full[key.service], now)
+			b.placeJob(one.job, pools[key], full[key.service], now)
 		}
 	}
 }
 
+// shortage is what has found no room in this decision, so that the same is not
+// looked for again: there are many more tasks waiting than kinds of them.
+type shortage struct {
+	sizes []worker.Size
+	// fillers is the least of the cores, in thousandths, that a filler of an
+	// image did not find.
+	fillers map[string]int64
+}
+
+// hopeless tells whether a smaller task of the kind has found no room already.
+func (s *shortage) hopeless(spec *work.Step) bool {
+	if spec.Label != "" || spec.Spread != 0 {
+		return false
+	}
+	if spec.Filler {
+		least, ok := s.fillers[spec.Image]
+		return ok && spec.Size.MilliCores >= least
+	}
+	for _, size := range s.sizes {
+		if size.Within(spec.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// note takes in that a task of the step has found no room.
+func (s *shortage) note(spec *work.Step, t *task) {
+	switch {
+	case spec.Label != "" || spec.Spread != 0 || t.avoid != "":
+	case spec.Filler:
+		s.fillers[spec.Image] = spec.Size.MilliCores
+	default:
+		s.sizes = append(s.sizes, spec.Size)
+	}
+}
+
 // mayStart tells whether the job's tasks can be known not to be running.
 func (b *Board) mayStart(j *job, now time.Time) bool {
 	if j.inherited == 0 {
@@ -193,32 +242,28 @@
 		!b.evacuated[w.Zone] && now.After(w.blockedUntil)
 }
 
-// placeJob starts what it can and returns the sizes that found no room.
-func (b *Board) placeJob(j *job, pool []*workerState, full []worker.Size, now time.Time) []worker.Size {
+// placeJob starts what it can.
+func (b *Board) placeJob(j *job, pool []*workerState, full *shortage, now time.Time) {
 	for _, one := range j.occurrences {
 		if one.left == 0 {
 			continue
 		}
 		for _, step := range one.steps {
-			if step.waiting == 0 || !one.turn(step, now) {
-				continue
-			}
-			if step.spec.Gang {
+			switch {
+			case step.waiting == 0 || !one.turn(step, now):
+			case step.spec.Gang:
 				b.placeGang(j, step, pool, now)
-				continue
+			default:
+				b.placeStep(j, step, pool, full, now)
 			}
-			full = b.placeStep(j, step, pool, full, now)
 		}
 	}
-	return full
 }
 
-func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, full []worker.Size, now time.Time) []worker.Size {
-	need := roomOf(step.spec)
-	urgent := b.urgent(j)
-	plain := step.spec.Label == "" && step.spec.Spread == 0 && !step.spec.Filler
-	if plain && !urgent && hopeless(need, full) {
-		return full
+func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, full *shortage, now time.Time) {
+	urgent := b.urgent(j) && !step.spec.Filler
+	if !urgent && full.hopeless(step.spec) {
+		return
 	}
 	for _, t := range step.tasks {
 		if t.phase != waiting || now.Before(t.notBefore) {
@@ -230,13 +275,11 @@
 			b.start(w, j, step, t, b.nextRun(), now)
 		case urgent:
 			b.reserve(j, step, t, pool, now)
-		case plain:
-			return append(full, need)
 		default:
-			return full
+			full.note(step.spec, t)
+			return
 		}
 	}
-	return full
 }
 
 // urgent jobs are quick ones of the highest priority: others make way for them.
@@ -245,16 +288,6 @@
 	return ok && queue.Priority == 0 && !j.work.Lasting()
 }
 
-// hopeless tells whether a smaller size has found no room already.
-func hopeless(need worker.Size, full []worker.Size) bool {
-	for _, size := range full {
-		if size.Within(need) {
-			return true
-		}
-	}
-	return false
-}
-
 // roomOf is the room that a task of the step is booked with.
 func roomOf(spec *work.Step) worker.Size {
 	size := spec.Size
--- a/internal/process/schedule/interference.go
+++ b/internal/process/schedule/interference.go
@@ -47,8 +47,8 @@
 	// twenty times the threshold.
 	mostPress = 30.0
 	// fade is what is left of a weight after fadeInterval, so that a pair which
-	// is kept apart gets another chance within a minute.
-	fade         = 0.97
+	// is kept apart gets another chance after a minute or two.
+	fade         = 0.985
 	fadeInterval = time.Second
 )
 
@@ -149,8 +149,28 @@
 // servingPercent is the progress at which a lasting task serves.
 const servingPercent = 100
 
-// clash is the worst pressure that a filler would add to a tail on the worker.
+// clash is the worst pressure on a tail of the worker once a filler has been
+// added to those that are there.
 func (b *Board) clash(w *workerState, image string, milliCores int64) float64 {
+	worst := 0.0
+	for serving := range w.serving {
+		sum := b.interference.press[pair{
+			serving: serving,
+			filler:  image,
+		}] * ratio(milliCores, w.Capacity.MilliCores)
+		for other, wants := range w.fillers {
+			sum += b.interference.press[pair{
+				serving: serving,
+				filler:  other,
+			}] * ratio(wants, w.Capacity.MilliCores)
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
+// loudness is the worst pressure of one filler alone on a tail of the worker.
+func (b *Board) loudness(w *workerState, image string, milliCores int64) float64 {
 	worst := 0.0
 	for serving := range w.serving {
 		worst = max(worst, b.interference.press[pair{
--- a/internal/process/schedule/pacing.go
+++ b/internal/process/schedule/pacing.go
@@ -33,11 +33,31 @@
 	knownPressure = 0.15
 )
 
+// stillPatience is how long a filler stands still where it disturbs before it
+// is stopped, to go on where it does not.
+const stillPatience = 1200 * time.Millisecond
+
+// moveStill stops fillers that may not work where they are and keep their
+// progress, one at a time.
+func (b *Board) moveStill(w *workerState, now time.Time) {
+	for key, held := range w.claims {
+		if !held.filler || held.still.IsZero() || now.Sub(held.still) < stillPatience || !held.stopping.IsZero() {
+			continue
+		}
+		j := b.open[key.Job]
+		if j != nil && j.work.Steps[key.Step].Checkpoints {
+			b.stop(w.ID, key, held.run, "disturbs")
+			return
+		}
+	}
+}
+
 // control slows fillers where serving tasks are near their target.
 func (b *Board) control(now time.Time) {
 	for _, w := range b.workers {
 		if w.reachable && w.heardUnder == b.token && now.Sub(w.paced) >= paceInterval && w.heard.After(w.paced) {
 			b.controlWorker(w, now)
+			b.moveStill(w, now)
 		}
 	}
 }
@@ -77,7 +97,7 @@
 			continue
 		}
 		percent := int(paceCut * float64(held.percent))
-		if percent < paceFloor || over && most >= knownPressure {
+		if percent < paceFloor || over {
 			percent = 0
 		}
 		b.pace(w, key, held, percent, now)
@@ -100,7 +120,7 @@
 		if !held.filler || !held.sure || held.percent >= fullPace {
 			continue
 		}
-		if b.clash(w, held.image, held.wants*int64(held.percent+paceStep)/fullPace) > mostClash {
+		if b.loudness(w, held.image, held.wants*int64(held.percent+paceStep)/fullPace) > mostClash {
 			continue
 		}
 		b.pace(w, key, held, min(fullPace, held.percent+paceStep), now)
@@ -110,6 +130,11 @@
 func (b *Board) pace(w *workerState, key work.TaskKey, held *claim, percent int, now time.Time) {
 	held.percent = percent
 	w.paced = now
+	if percent > 0 {
+		held.still = time.Time{}
+	} else if held.still.IsZero() {
+		held.still = now
+	}
 	b.effects.Paces = append(b.effects.Paces, Pace{
 		Worker:  w.ID,
 		Key:     key,
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -56,6 +56,8 @@
 	image        string
 	// percent is the pace asked for, from 0 to 100.
 	percent int
+	// still is since when a filler has been made to stand still, or nearly.
+	still time.Time
 	// wants are the thousandths of cores that a filler asked for, inUse those
 	// that it had lately.
 	wants, inUse int64
@@ -85,6 +87,8 @@
 	// serving counts serving runs by image, steps runs by step.
 	serving map[string]int
 	steps   map[stepKey]int
+	// fillers sums the thousandths of cores that fillers want, by image.
+	fillers map[string]int64
 	// seen is the highest end that was processed; ends wait until durable.
 	seen int64
 	ends []pendingEnd
@@ -166,6 +170,7 @@
 		idle:     listing.Capacity.MilliCores,
 		serving:  map[string]int{},
 		steps:    map[stepKey]int{},
+		fillers:  map[string]int64{},
 		leaseEnd: b.doubtEnd(),
 	}
 	b.workers[listing.ID] = w
@@ -423,6 +428,9 @@
 	if held.serving {
 		w.serving[held.image]++
 	}
+	if held.filler {
+		w.fillers[held.image] += held.wants
+	}
 }
 
 func (w *workerState) unbook(key work.TaskKey, held *claim) {
@@ -432,6 +440,11 @@
 	if w.steps[stepOf(key)]--; w.steps[stepOf(key)] == 0 {
 		delete(w.steps, stepOf(key))
 	}
+	if held.filler {
+		if w.fillers[held.image] -= held.wants; w.fillers[held.image] <= 0 {
+			delete(w.fillers, held.image)
+		}
+	}
 	if !held.serving {
 		return
 	}
