--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -50,14 +50,15 @@
 			continue
 		}
 		held := w.claims[start.Key]
-		switch {
-		case held == nil || held.run != start.Run || !held.stopping.IsZero():
-		case !w.reachable:
+		if held == nil || held.run != start.Run || !held.stopping.IsZero() {
+			continue
+		}
+		if !w.reachable {
 			// It would extend the leases of what runs there.
 			later = append(later, start)
-		default:
-			b.effects.Starts = append(b.effects.Starts, start)
+			continue
 		}
+		b.effects.Starts = append(b.effects.Starts, start)
 	}
 	b.again = later
 }
