--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -68,11 +68,24 @@
 func (c *call) run(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	begun := c.reign.leader.config.Clock()
 	verdict, clock := c.send(limited)
+	c.reign.leader.config.Took(c.kind(), c.reign.leader.config.Clock().Sub(begun))
 	<-c.reign.leader.calls
 	c.reign.post(func(now time.Time) { c.reign.replied(c, verdict, clock, now) })
 }
 
+// kind names the call in metrics.
+func (c *call) kind() string {
+	switch {
+	case c.stop != nil:
+		return "stop"
+	case c.pace != nil:
+		return "pace"
+	}
+	return "start"
+}
+
 func (c *call) send(ctx context.Context) (schedule.Verdict, time.Duration) {
 	calls := &c.reign.leader.config.Calls
 	switch {
@@ -92,6 +105,7 @@
 		verdict = schedule.TooLate // the order bore this reign's former token
 	}
 	board := r.leader.board
+	r.leader.config.Counts.Add(c.kind()+"_"+verdict.String(), 1)
 	switch {
 	case c.start != nil:
 		klog.InfoS("start", "job", c.start.Key.Job, "task", c.start.Key, "run", c.start.Run,
--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -84,6 +84,7 @@
 
 // lose ends the reign; what it knew is dropped.
 func (l *Leader) lose(reason string) {
+	l.config.Counts.Add("leadership_lost", 1)
 	klog.InfoS("leadership lost", "token", l.reign.token, "reason", reason)
 	l.reign.end()
 	l.reign, l.board = nil, nil
@@ -269,6 +270,7 @@
 		}
 		return
 	}
+	l.config.Counts.Add("leadership_taken", 1)
 	klog.InfoS("leadership taken", "token", got.token, "resumed", got.resumed, "jobs", len(got.jobs))
 	if got.resumed && l.reign != nil {
 		l.reign.resume(got)
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net/netip"
 	"time"
 
@@ -74,6 +75,10 @@
 	// Clock is steady and counts suspends; TimeOfDay may jump.
 	Clock     func() time.Time
 	TimeOfDay func() time.Time
+	// Counts counts orders by outcome, ends by kind and leaderships; Took
+	// records how long calls took, by kind.
+	Counts *expvar.Map
+	Took   func(call string, took time.Duration)
 	// Changed tells who leads now; the zero Member for nobody.
 	Changed func(member Member)
 }
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/netip"
 	"sync"
 	"testing"
@@ -184,6 +185,8 @@
 		},
 		Clock:     time.Now,
 		TimeOfDay: time.Now,
+		Counts:    new(expvar.Map).Init(),
+		Took:      func(string, time.Duration) {},
 		Changed:   func(Member) {},
 	})
 	go one.Run(ctx)
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -129,6 +129,7 @@
 	config := &k.reign.leader.config
 	sent := config.Clock()
 	inventory, clock, err := config.Calls.Look(limited, k.target, look)
+	config.Took("look", config.Clock().Sub(sent))
 	inventory.Sent, inventory.Received = sent, config.Clock()
 	k.reign.post(func(now time.Time) { k.heard(look, inventory, clock, err, now) })
 }
@@ -161,6 +162,7 @@
 	k.lost, k.anew = false, false
 	k.clock, k.clockAt = clock, inventory.Received
 	for _, end := range board.Heard(k.target.ID, inventory, now) {
+		k.reign.leader.config.Counts.Add("ended_"+end.Ending.String(), 1)
 		klog.InfoS("run ended", "job", end.Key.Job, "task", end.Key, "run", end.Run, "worker", k.target.ID,
 			"ending", end.Ending, "number", end.Number)
 	}
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -69,7 +69,10 @@
 func (o *writing) run(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	revision, err := o.writer.reign.leader.config.Store.Commit(limited, o.commit)
+	config := &o.writer.reign.leader.config
+	begun := config.Clock()
+	revision, err := config.Store.Commit(limited, o.commit)
+	config.Took("commit", config.Clock().Sub(begun))
 	o.writer.reign.post(func(now time.Time) { o.writer.written(o, revision, err, now) })
 }
 
--- a/internal/process/schedule/bench_test.go
+++ b/internal/process/schedule/bench_test.go
@@ -29,10 +29,10 @@
 			Image:       fmt.Sprintf("image%d", i%9),
 		}
 		queue := "plans"
-		switch {
-		case i%10 == 1:
+		switch i % 10 {
+		case 1:
 			queue = "quotes"
-		case i%10 == 3:
+		case 3:
 			queue, step.Lasting, step.TailTarget = "quotes", true, time.Second
 		}
 		board.AddJob(testJob(fmt.Sprintf("%016d", i), queue, step), nil, false, testBegun, testBegun)
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -47,8 +47,10 @@
 	Ask func(ctx context.Context, question leader.Question) leader.Answer
 	// Clock tells the time for measuring.
 	Clock func() time.Time
-	// Counts counts outcomes by kind of request.
+	// Counts counts outcomes by kind of request; Took records how long each
+	// kind took.
 	Counts *expvar.Map
+	Took   func(kind string, took time.Duration)
 }
 
 // Intake is safe for concurrent use.
@@ -84,6 +86,7 @@
 	begun := i.config.Clock()
 	outcome, revision, err := i.submit(ctx, job)
 	i.config.Counts.Add("submit_"+outcome.String(), 1)
+	i.config.Took("submit", i.config.Clock().Sub(begun))
 	klog.InfoS("job submitted", "job", job.ID, "queue", job.Queue, "service", job.Service, "steps", len(job.Steps),
 		"outcome", outcome, "revision", revision, "took", i.config.Clock().Sub(begun), "err", err)
 	return outcome
@@ -176,6 +179,7 @@
 		state, outcome = i.readState(ctx, id)
 	}
 	i.config.Counts.Add("state_"+source+"_"+outcome.String(), 1)
+	i.config.Took("state_"+source, i.config.Clock().Sub(begun))
 	klog.V(1).InfoS("state told", "job", id, "state", state, "outcome", outcome, "source", source, "took", i.config.Clock().Sub(begun))
 	return state, outcome
 }
@@ -214,6 +218,7 @@
 	begun := i.config.Clock()
 	outcome, err := i.cancel(ctx, id)
 	i.config.Counts.Add("cancel_"+outcome.String(), 1)
+	i.config.Took("cancel", i.config.Clock().Sub(begun))
 	klog.InfoS("cancel asked", "job", id, "outcome", outcome, "took", i.config.Clock().Sub(begun), "err", err)
 	return outcome
 }
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -25,6 +25,7 @@
 		},
 		Clock:  time.Now,
 		Counts: new(expvar.Map).Init(),
+		Took:   func(string, time.Duration) {},
 	})
 }
 
