--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -15,6 +15,9 @@
 	"mustardreach.example/mustardreach/internal/process/store"
 )
 
+// ErrFenced marks a look that the worker refused for a higher token.
+var ErrFenced = errors.New("worker has seen a higher token")
+
 // ErrClosed marks a look that the worker's side ended by closing the
 // connection, or that nobody listens for any more.
 var ErrClosed = errors.New("worker closed the connection")
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -57,7 +57,10 @@
 func (f *fakeWorkers) look(_ context.Context, target Target, look Look) (schedule.Inventory, time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.token = max(f.token, look.Token)
+	if look.Token < f.token {
+		return schedule.Inventory{}, 0, ErrFenced
+	}
+	f.token = look.Token
 	var kept []schedule.EndedTask
 	for _, end := range f.ended[target.ID] {
 		if end.Number > look.LastSeen {
@@ -317,3 +320,18 @@
 	one.wait(leading, "b")
 	one.wait(leading, "a")
 }
+
+// A leader that the store turns away learns from the workers that another one
+// leads, and no longer answers for jobs. Found in an incident: it answered for
+// five seconds more.
+func TestSupersededLeaderStopsAtTheFirstRefusal(t *testing.T) {
+	one := newSite(t)
+	leading, _ := one.lead("recife-1")
+	one.submit("a")
+	one.wait(leading, "a")
+	one.store.SetFault(func(string) error { return store.ErrUnavailable }, false)
+	one.workers.mu.Lock()
+	one.workers.token++ // as another leader's look does
+	one.workers.mu.Unlock()
+	require.Eventually(t, func() bool { return !state(leading, "a").Known }, ActTerm/2, 10*time.Millisecond)
+}
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -141,6 +141,10 @@
 		return // the worker has another address by now
 	}
 	board := k.reign.leader.board
+	if errors.Is(err, ErrFenced) && look.Token == k.reign.token {
+		k.reign.leader.lose("fenced by a worker")
+		return
+	}
 	if err != nil {
 		if !k.lost {
 			klog.InfoS("worker lost", "worker", k.target.ID, "err", err)
