Blame is taken back faster

Cause: fillers that work beside a loud one are blamed with it and kept apart for long. Change: weights fall at 0.1 a sample.

--- a/internal/process/schedule/interference.go
+++ b/internal/process/schedule/interference.go
@@ -34,7 +34,7 @@
 	// learnUp and learnDown are the weights of one sample. A bad pair is known
 	// after a few samples, and is forgiven slowly.
 	learnUp   = 0.3
-	learnDown = 0.03
+	learnDown = 0.1
 	// enoughSeen is the sum of shares after which a pair is known: some twenty
 	// samples of a filler of three cores on a worker of thirty-two.
 	enoughSeen = 2.0
