Tasks that stand still are moved

Cause: on grey workers tasks hang while the worker answers; serving tasks there had tails of 80 s for as long as the trouble lasted, batch never ended. Log lines are written in parts of 4 KB, whole lines each.

--- a/internal/process/logsink/sink.go
+++ b/internal/process/logsink/sink.go
@@ -4,6 +4,7 @@
 package logsink
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -17,6 +18,8 @@
 	mostWaiting = 1 << 20
 	// flushInterval is how long a line waits for others at most.
 	flushInterval = 100 * time.Millisecond
+	// writeBytes bounds one write, so that readers of a pipe get whole lines.
+	writeBytes = 4 << 10
 	// flushBytes wakes the writer early.
 	flushBytes = 64 << 10
 )
@@ -74,6 +77,17 @@
 	}
 }
 
+// wholeLines is the length of the lines that go into one write.
+func wholeLines(lines []byte) int {
+	if len(lines) <= writeBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:writeBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	return writeBytes
+}
+
 // Flush writes what waits.
 func (s *Sink) Flush() {
 	s.mu.Lock()
@@ -83,8 +97,10 @@
 	if dropped > 0 {
 		lines = fmt.Appendf(lines, "logsink: %d lines dropped\n", dropped)
 	}
-	if len(lines) > 0 {
-		_, _ = s.out.Write(lines) // there is nowhere left to say so
+	for rest := lines; len(rest) > 0; {
+		part := rest[:wholeLines(rest)]
+		_, _ = s.out.Write(part) // there is nowhere left to say so
+		rest = rest[len(part):]
 	}
 	s.mu.Lock()
 	s.spare = lines
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -17,6 +17,7 @@
 	b.restop()
 	b.sendAgain()
 	b.drain(now)
+	b.unstick(now)
 	b.dropReservations(now)
 	if allowed && !b.fenced {
 		b.place(now)
--- /dev/null
+++ b/internal/process/schedule/stuck_test.go
@@ -0,0 +1,66 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// look shows a worker's runs at a percentage.
+func look(board *Board, id string, percent int, tail time.Duration, now time.Time) {
+	inventory := Inventory{
+		Born:     testBorn,
+		Sent:     now,
+		Received: now,
+	}
+	for key, held := range board.workers[id].claims {
+		inventory.Running = append(inventory.Running, RunningTask{
+			Key:     key,
+			Run:     held.run,
+			Percent: percent,
+			Tail:    tail,
+		})
+	}
+	board.Heard(id, inventory, now)
+}
+
+func TestTasksThatStandStillAreMoved(t *testing.T) {
+	tests := map[string]struct {
+		serving bool
+		percent func(i int) int
+		tail    time.Duration
+		want    string
+	}{
+		"moves on":          {percent: func(i int) int { return i }},
+		"stands still":      {percent: func(int) int { return 7 }, want: "stands_still"},
+		"serves":            {serving: true, percent: func(int) int { return 100 }, tail: 50 * time.Millisecond},
+		"serves a bit late": {serving: true, percent: func(int) int { return 100 }, tail: 300 * time.Millisecond},
+		"hangs":             {serving: true, percent: func(int) int { return 100 }, tail: 40 * time.Second, want: "stands_still"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			step, queue := tasks(1, 1000), "plans"
+			if tt.serving {
+				step.Lasting, step.TailTarget, queue = true, testTarget, "quotes"
+			}
+			board.AddJob(testJob("a", queue, step), nil, false, testBegun, testBegun)
+			accept(board, board.Decide(testBegun, true), testBegun)
+			var stops []Stop
+			now := testBegun
+			for i := range 50 {
+				now = now.Add(100 * time.Millisecond)
+				look(board, "w0", tt.percent(i), tt.tail, now)
+				stops = append(stops, board.Decide(now, true).Stops...)
+			}
+			if tt.want == "" {
+				assert.Empty(t, stops)
+				return
+			}
+			require.NotEmpty(t, stops)
+			assert.Equal(t, tt.want, stops[0].Reason)
+		})
+	}
+}
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -49,6 +49,7 @@
 	retries int
 	filler  bool
 	serving bool
+	lasting bool
 	// target is the bound of a serving task's tail latency, tail the newest
 	// figure, and over since when it has been above it.
 	target, tail time.Duration
@@ -400,6 +401,7 @@
 		started: now,
 		filler:  spec.Filler,
 		serving: spec.TailTarget > 0,
+		lasting: spec.Lasting,
 		target:  spec.TailTarget,
 		image:   spec.Image,
 		percent: fullPace,
