Sites beside each other take ports of their own

Cause: make demo and make measure beside each other collided on fixed ports and reported a broken promise. Change: a site holds a base for its ports, tries the next one if a port is taken and says so.

--- a/cmd/mustardreach-load/main.go
+++ b/cmd/mustardreach-load/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -22,7 +23,15 @@
 	name := flags.String("plan", "", "what to run")
 	service := flags.String("service", "quotes", "idempotent service that gets the requests")
 	seed := flags.Uint64("seed", 1, "seed of everything random")
+	base := flags.Int("check_base", -1, "tell whether the ports of a site above this base are free, and end")
 	_ = ff.Parse(flags, os.Args[1:])
+	if *base >= 0 {
+		if taken := load.TakenPort(context.Background(), *base); taken != 0 {
+			fmt.Fprintf(os.Stderr, "port %d is taken\n", taken)
+			os.Exit(1)
+		}
+		return
+	}
 	for _, plan := range load.Plans() {
 		if plan.Name != *name {
 			continue
--- /dev/null
+++ b/internal/process/load/ports_test.go
@@ -0,0 +1,19 @@
+package load
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestTakenPort(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	port := listener.Addr().(*net.TCPAddr).Port
+	base := port - sitePorts()[0]
+	assert.Equal(t, port, TakenPort(context.Background(), base))
+}
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -4,9 +4,28 @@
 #   site_start ZONES HOSTS RUNNERS WORKERS DEPLOYMENT [stand-in flags ...]
 #   host_start INDEX   host_end INDEX SIGNAL   site_end
 
-RUN=${RUN:-run}
-BASE=${BASE:-0}
-mkdir -p "$RUN"
+# Sites beside each other take ports above different bases. A base is held by
+# a directory, since its ports are taken only a moment later.
+hold() {
+	RUN=run/$1
+	mkdir -p run
+	if ! mkdir "$RUN" 2>/dev/null && kill -0 "$(cat "$RUN/site.pid" 2>/dev/null)" 2>/dev/null; then
+		echo "note the ports above $1 are held by another site"
+		return 1
+	fi
+	echo $$ >"$RUN/site.pid"
+	bin/mustardreach-load -check_base "$1"
+}
+
+take_base() {
+	for BASE in ${BASE:-0 10000 20000 30000 40000}; do
+		hold "$BASE" && return 0
+	done
+	echo "no free ports for a site; end another one, or name a base: BASE=50000"
+	exit 1
+}
+
+take_base
 
 port() { echo $((BASE + $1)); }
 
@@ -87,7 +106,7 @@
 site_start() {
 	ZONES=$1 HOSTS=$2 RUNNERS=$3 WORKERS=$4 DEPLOYMENT=$5
 	shift 5
-	rm -f "$RUN"/*.log "$RUN"/*.pid
+	rm -f "$RUN"/*.log "$RUN"/host-*.pid "$RUN"/standin.pid
 	bin/mustardreach-standin -admin "127.0.0.1:$(port 7000)" -platform "127.0.0.1:$(port 7001)" \
 		-zones "$ZONES" -runners "$RUNNERS" -workers "$WORKERS" -relays "$(relays)" "$@" \
 		>"$RUN/standin.log" 2>&1 &
