A job of fillers goes on while there is room

Change: while less than 0.65 of the cores is booked, a job that has had nothing running for a second gets one task where it disturbs least.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -50,6 +50,9 @@
 	// open holds the jobs that are not final.
 	open    map[string]*job
 	workers map[string]*workerState
+	// roomLeft says that much of the workers' room was free at the last
+	// decision.
+	roomLeft bool
 	// cancelled are jobs whose cancellation came before their record.
 	cancelled map[string]bool
 	// evacuated zones get no new task.
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -40,12 +40,28 @@
 	if spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
 		return false
 	}
-	if spec.Filler && (w.idle < spec.Size.MilliCores || b.clash(w, spec.Image, spec.Size.MilliCores) > mostClash) {
+	if spec.Filler && (w.idle < spec.Size.MilliCores || !b.starving(t.key.Job) && b.clash(w, spec.Image, spec.Size.MilliCores) > mostClash) {
 		return false
 	}
 	return spec.Spread == 0 || w.steps[stepOf(t.key)] < spec.Spread
 }
 
+const (
+	// fillerPatience is how long a job of fillers may have nothing running for
+	// the sake of others' tails while there is room; then one goes where it
+	// disturbs least, to be paced.
+	fillerPatience = time.Second
+	// roomy is the share of the booked room below which that holds: users
+	// expect work to go on while half is free.
+	roomy = 0.65
+)
+
+// starving tells whether a job has had nothing running for too long.
+func (b *Board) starving(id string) bool {
+	j := b.open[id]
+	return j != nil && b.roomLeft && j.claims == 0 && b.now.Sub(j.idleSince) > fillerPatience
+}
+
 // Weights of the choice. Each is far above the next, so that they decide in
 // this order: not where it failed, near the data, then room.
 const (
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -16,6 +16,7 @@
 	b.Expire(now)
 	b.restop()
 	b.sendAgain()
+	b.roomLeft = b.bookedShare() < roomy
 	b.drain(now)
 	b.unstick(now)
 	b.dropReservations(now)
@@ -41,6 +42,18 @@
 		cmp.Compare(a.Step, c.Step), cmp.Compare(a.Index, c.Index))
 }
 
+// bookedShare is the part of the reachable workers' cores that is booked.
+func (b *Board) bookedShare() float64 {
+	booked, whole := int64(0), int64(0)
+	for _, w := range b.workers {
+		if w.reachable && w.listed && !w.Draining {
+			booked += w.used.MilliCores
+			whole += w.Capacity.MilliCores
+		}
+	}
+	return ratio(booked, whole)
+}
+
 // sendAgain repeats starts that got no answer. A claim may have ended since, by
 // a worker that started anew: then the task may be elsewhere already.
 func (b *Board) sendAgain() {
@@ -264,7 +277,7 @@
 
 func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, full *shortage, now time.Time) {
 	urgent := b.urgent(j) && !step.spec.Filler
-	if !urgent && full.hopeless(step.spec) {
+	if !urgent && full.hopeless(step.spec) && !b.starving(j.work.ID) {
 		return
 	}
 	for _, t := range step.tasks {
--- a/internal/process/schedule/interference_test.go
+++ b/internal/process/schedule/interference_test.go
@@ -94,3 +94,23 @@
 	require.Len(t, board.effects.Paces, 1)
 	assert.Equal(t, paceStep, board.effects.Paces[0].Percent)
 }
+
+// Load pattern: every worker serves an image that a waiting filler disturbs.
+// Found by a hunt: such jobs had nothing running although most room was free.
+func TestLoudFillerIsNotKeptWaitingForEver(t *testing.T) {
+	board := testBoard("w0")
+	w := board.workers["w0"]
+	w.book(firstTask("s"), &claim{
+		serving: true,
+		sure:    true,
+		image:   "quotes",
+		target:  testTarget,
+	})
+	board.interference.press[pair{serving: "quotes", filler: "loud"}] = 20
+	step := tasks(3, 1000)
+	step.Filler, step.Image = true, "loud"
+	board.AddJob(testJob("a", "plans", step), nil, false, testBegun, testBegun)
+	assert.Empty(t, board.Decide(testBegun, true).Starts, "it would disturb")
+	later := testBegun.Add(fillerPatience + time.Millisecond)
+	assert.Len(t, board.Decide(later, true).Starts, 1, "one, so that the job goes on")
+}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -71,8 +71,10 @@
 
 	occurrences []*occurrence
 	left        int
-	// claims counts tasks that have a claim.
-	claims int
+	// claims counts tasks that have a claim; idleSince is when it last fell to
+	// none.
+	claims    int
+	idleSince time.Time
 
 	// todo is the longest chain of steps that have tasks waiting; stale when
 	// a step has moved on since it was reckoned.
@@ -107,6 +109,7 @@
 		j.attempts, j.priority = queue.MaxAttempts, queue.Priority
 	}
 	j.stale = true
+	j.idleSince = now
 	j.build(now, timeOfDay)
 	if progress != nil {
 		j.restore(progress)
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -482,6 +482,9 @@
 	t.over = now
 	step.waiting++
 	j.claims--
+	if j.claims == 0 {
+		j.idleSince = now
+	}
 }
 
 // Expire frees what ran on workers whose leases are certainly over.
