Tickets: only admitted workers run the steps of an advised queue

Cause: queues whose policy another service knows were accepted and never ran. Change: a step without a worker that is admitted and has room asks for up to thirty of the roomiest; tickets hold for a worker's life and their term, a denial stays; starts carry them.

--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -23,6 +23,7 @@
 
 // carryOut sends what the board decided.
 func (r *reign) carryOut(effects schedule.Effects, now time.Time) {
+	r.ask(effects.Asks)
 	for i := range effects.Stops {
 		r.order(&call{
 			stop: &effects.Stops[i],
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -53,6 +53,8 @@
 	Start func(ctx context.Context, target Target, lease Lease, start schedule.Start) (schedule.Verdict, time.Duration)
 	Stop  func(ctx context.Context, target Target, lease Lease, stop schedule.Stop) (schedule.Verdict, time.Duration)
 	Pace  func(ctx context.Context, target Target, lease Lease, pace schedule.Pace) (schedule.Verdict, time.Duration)
+	// Advise asks for tickets; it returns them by worker, with their term.
+	Advise func(ctx context.Context, ask schedule.Ask) (granted map[string]string, term time.Duration, err error)
 }
 
 // Member is how a leader is found.
@@ -124,6 +126,9 @@
 	// Few, so that each is answered well within its timeout on a small host;
 	// the rest wait their turn without a timer running.
 	mostCalls = 32
+	// mostQuestions bounds the calls for tickets under way at a time: the
+	// service takes them in turn and turns away more than 32.
+	mostQuestions = 8
 	// summaryInterval is how often the state of the schedule is logged.
 	summaryInterval = time.Second
 	// tick is the longest time between two decisions.
--- a/internal/process/leader/reign.go
+++ b/internal/process/leader/reign.go
@@ -37,6 +37,10 @@
 	// waiting orders have no free call yet.
 	waiting []*call
 
+	// asks wait for a call for tickets, asking counts those under way.
+	asks   []schedule.Ask
+	asking int
+
 	recording   bool
 	recordedAt  time.Time
 	forgottenAt time.Time
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -157,6 +157,7 @@
 			Run:        run,
 			Spec:       j.work.Spec,
 			Checkpoint: checkpoint,
+			Ticket:     step.ticketFor(chosen[i].ID),
 		})
 	}
 }
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -172,9 +172,7 @@
 			pools[key] = b.pool(key, now)
 		}
 		if full[key.service] == nil {
-			full[key.service] = &shortage{
-				fillers: map[string]int64{},
-			}
+			full[key.service] = newShortage()
 		}
 		if len(pools[key]) > 0 {
 			b.placeJob(one.job, pools[key], full[key.service], now)
@@ -191,6 +189,12 @@
 	fillers map[string]int64
 }
 
+func newShortage() *shortage {
+	return &shortage{
+		fillers: map[string]int64{},
+	}
+}
+
 // hopeless tells whether a smaller task of the kind has found no room already.
 func (s *shortage) hopeless(spec *work.Step) bool {
 	if spec.Label != "" || spec.Spread != 0 {
@@ -264,12 +268,19 @@
 			continue
 		}
 		for _, step := range one.steps {
-			switch {
-			case step.waiting == 0 || !one.turn(step, now):
-			case step.spec.Gang:
-				b.placeGang(j, step, pool, now)
-			default:
-				b.placeStep(j, step, pool, full, now)
+			if step.waiting == 0 || !one.turn(step, now) {
+				continue
+			}
+			workers, shared := pool, full
+			if queue := b.catalog.Queues[j.work.Queue]; queue.Advised {
+				// What finds no room among these few may find it among all.
+				workers = b.admitted(queue, step, pool, now)
+				shared = newShortage()
+			}
+			if step.spec.Gang {
+				b.placeGang(j, step, workers, now)
+			} else {
+				b.placeStep(j, step, workers, shared, now)
 			}
 		}
 	}
@@ -320,5 +331,6 @@
 		Run:        run,
 		Spec:       j.work.Spec,
 		Checkpoint: t.checkpoint,
+		Ticket:     step.ticketFor(w.ID),
 	})
 }
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -47,6 +47,8 @@
 	left int
 	// waiting is the number of tasks in the phase of that name.
 	waiting int
+	// advice is what is known of who may run the step, nil if nobody was asked.
+	advice *advice
 }
 
 // occurrence is one time that the steps run.
--- a/internal/process/schedule/orders.go
+++ b/internal/process/schedule/orders.go
@@ -51,6 +51,7 @@
 	Starts []Start
 	Stops  []Stop
 	Paces  []Pace
+	Asks   []Ask
 }
 
 // Verdict is a worker's answer to an order.
