--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -242,20 +242,14 @@
 
 // read takes one item of the work in; items of others are left out.
 func (g *taken) read(item store.Item) {
-	if id, ok := cut(item.Key, prefixCancel); ok {
-		g.cancels = append(g.cancels, id)
-		return
-	}
-	if _, ok := cut(item.Key, prefixJob); !ok {
-		return
-	}
-	one, err := work.DecodeJob(item.Value)
-	if err != nil {
-		klog.ErrorS(err, "job record cannot be read", "key", item.Key, "revision", item.Revision)
-		return
+	one, cancelled := decodeItem(item)
+	switch {
+	case cancelled != "":
+		g.cancels = append(g.cancels, cancelled)
+	case one != nil:
+		g.jobs = append(g.jobs, one)
+		g.created[one.ID] = item.Created
 	}
-	g.jobs = append(g.jobs, one)
-	g.created[one.ID] = item.Created
 }
 
 // takenOver begins the reign, or waits for the next vacancy.
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -248,7 +248,10 @@
 	one.wait(second, "b")
 	one.wait(second, "a")
 	for index := range 2 {
-		assert.Equal(t, 1, one.workers.started(work.TaskKey{Job: "a", Index: index}))
+		assert.Equal(t, 1, one.workers.started(work.TaskKey{
+			Job:   "a",
+			Index: index,
+		}))
 	}
 }
 
@@ -280,10 +283,12 @@
 		return nil
 	}, true)
 	value, err := work.EncodeJob(&work.Job{
-		ID:       "b",
-		Queue:    "quotes",
-		Service:  "workshop",
-		Steps:    []work.Step{{Count: 1}},
+		ID:      "b",
+		Queue:   "quotes",
+		Service: "workshop",
+		Steps: []work.Step{{
+			Count: 1,
+		}},
 		Accepted: time.Now(),
 	})
 	require.NoError(t, err)
@@ -296,7 +301,11 @@
 		},
 	})
 	one.store.Release() // the job itself
-	require.Eventually(t, func() bool { return one.workers.started(work.TaskKey{Job: "b"}) == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool {
+		return one.workers.started(work.TaskKey{
+			Job: "b",
+		}) == 1
+	}, patience, time.Millisecond)
 	time.Sleep(3 * gatherRest) // commits of progress are held back meanwhile
 	one.store.SetFault(func(string) error { return nil }, false)
 	one.wait(leading, "b")
--- a/internal/process/leader/reign.go
+++ b/internal/process/leader/reign.go
@@ -11,7 +11,6 @@
 
 	"mustardreach.example/mustardreach/internal/process/schedule"
 	"mustardreach.example/mustardreach/internal/process/store"
-	"mustardreach.example/mustardreach/internal/request/work"
 )
 
 // reign is one leadership of this host. It belongs to the loop.
@@ -135,10 +134,6 @@
 	})
 }
 
-func cut(key, prefix string) (string, bool) {
-	return strings.CutPrefix(key, prefix)
-}
-
 // seeWork takes in new jobs and cancellations, in the order of the store. The
 // lead key lies under the same prefix: a job that came after this reign was
 // ended is never seen before its end.
@@ -197,17 +192,13 @@
 }
 
 func (r *reign) seeItem(item store.Item, now time.Time) {
-	if id, ok := cut(item.Key, prefixCancel); ok {
-		klog.InfoS("job cancelled", "job", id, "revision", item.Revision)
-		r.leader.board.Cancel(id, now)
+	one, cancelled := decodeItem(item)
+	if cancelled != "" {
+		klog.InfoS("job cancelled", "job", cancelled, "revision", item.Revision)
+		r.leader.board.Cancel(cancelled, now)
 		return
 	}
-	if _, ok := cut(item.Key, prefixJob); !ok {
-		return
-	}
-	one, err := work.DecodeJob(item.Value)
-	if err != nil {
-		klog.ErrorS(err, "job record cannot be read", "key", item.Key, "revision", item.Revision)
+	if one == nil {
 		return
 	}
 	klog.InfoS("job seen", "job", one.ID, "queue", one.Queue, "revision", item.Revision)
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -43,20 +43,9 @@
 	return board
 }
 
+// hear shows a worker's runs, all far on.
 func hear(board *Board, id string, now time.Time) {
-	inventory := Inventory{
-		Born:     testBorn,
-		Sent:     now,
-		Received: now,
-	}
-	for key, held := range board.workers[id].claims {
-		inventory.Running = append(inventory.Running, RunningTask{
-			Key:     key,
-			Run:     held.run,
-			Percent: 100,
-		})
-	}
-	board.Heard(id, inventory, now)
+	look(board, id, 100, 0, now)
 }
 
 func testJob(id, queue string, steps ...work.Step) *work.Job {
@@ -102,13 +91,21 @@
 		Run:    effects.Starts[0].Run,
 		Ending: EndedFailed,
 	}
-	first.Heard("w0", Inventory{Born: testBorn, Ended: []EndedTask{end}, Sent: testBegun}, testBegun)
+	first.Heard("w0", Inventory{
+		Born:  testBorn,
+		Ended: []EndedTask{end},
+		Sent:  testBegun,
+	}, testBegun)
 	records := first.Records(true, 10)
 	require.Len(t, records, 1)
 
 	heir := testBoard("w0")
 	heir.AddJob(spec, &records[0].Progress, true, testBegun, testBegun)
-	heir.Heard("w0", Inventory{Born: testBorn, Ended: []EndedTask{end}, Sent: testBegun}, testBegun)
+	heir.Heard("w0", Inventory{
+		Born:  testBorn,
+		Ended: []EndedTask{end},
+		Sent:  testBegun,
+	}, testBegun)
 	assert.Contains(t, heir.open, "a", "two attempts are allowed and one was made")
 }
 
@@ -138,9 +135,17 @@
 		draining, closed bool
 		want             int
 	}{
-		"left":             {draining: true, closed: true, want: 1},
-		"cut off":          {draining: true},
-		"closed, no drain": {closed: true},
+		"left": {
+			draining: true,
+			closed:   true,
+			want:     1,
+		},
+		"cut off": {
+			draining: true,
+		},
+		"closed, no drain": {
+			closed: true,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -169,7 +174,11 @@
 // has not been heard; a job accepted since is.
 func TestInheritedWorkWaitsForEveryWorker(t *testing.T) {
 	board := testBoard("w0")
-	board.Remember([]Listing{{ID: "w1", Service: "workshop", Zone: "olinda"}}, testBegun)
+	board.Remember([]Listing{{
+		ID:      "w1",
+		Service: "workshop",
+		Zone:    "olinda",
+	}}, testBegun)
 	board.AddJob(testJob("old", "plans", tasks(1, 1000)), nil, true, testBegun, testBegun)
 	board.AddJob(testJob("new", "plans", tasks(1, 1000)), nil, false, testBegun, testBegun)
 	effects := board.Decide(testBegun, true)
@@ -233,7 +242,10 @@
 			want: map[string]int{"w0": 3},
 		},
 		"steps wait for their turn": {
-			jobs: []*work.Job{testJob("a", "plans", tasks(1, 1000), work.Step{Count: 5, After: []int{0}})},
+			jobs: []*work.Job{testJob("a", "plans", tasks(1, 1000), work.Step{
+				Count: 5,
+				After: []int{0},
+			})},
 			want: map[string]int{"w0": 1},
 		},
 	}
@@ -256,7 +268,14 @@
 // core-second; with the order by slack both would be late.
 func TestSmallJobsGoFirstWhenThereIsTooMuch(t *testing.T) {
 	board := testBoard("w0")
-	board.AddJob(testJob("a-large", "plans", tasks(8, 1000), work.Step{Count: 8, After: []int{0}, Estimate: time.Second, Size: worker.Size{MilliCores: 1000}}), nil, false, testBegun, testBegun)
+	board.AddJob(testJob("a-large", "plans", tasks(8, 1000), work.Step{
+		Count:    8,
+		After:    []int{0},
+		Estimate: time.Second,
+		Size: worker.Size{
+			MilliCores: 1000,
+		},
+	}), nil, false, testBegun, testBegun)
 	board.AddJob(testJob("b-small", "plans", tasks(8, 1000)), nil, false, testBegun, testBegun)
 	effects := board.Decide(testBegun, true)
 	require.Len(t, effects.Starts, 8)
@@ -291,7 +310,11 @@
 			Checkpoint: "saved",
 		})
 	}
-	board.Heard("w0", Inventory{Born: testBorn, Ended: ended, Sent: now}, now)
+	board.Heard("w0", Inventory{
+		Born:  testBorn,
+		Ended: ended,
+		Sent:  now,
+	}, now)
 	effects = board.Decide(now, true)
 	require.NotEmpty(t, effects.Starts)
 	assert.Equal(t, "quick", effects.Starts[0].Key.Job, "the room is kept for the one that was waited for")
--- a/internal/process/schedule/interference_test.go
+++ b/internal/process/schedule/interference_test.go
@@ -27,7 +27,10 @@
 		model.learn("stock", 60*time.Millisecond, testTarget, shares)
 	}
 	assert.Greater(t, model.pressure("quotes", map[string]float64{"loud": 0.1}), mostClash, "it is kept apart")
-	assert.Less(t, model.press[pair{serving: "stock", filler: "loud"}], 0.1)
+	assert.Less(t, model.press[pair{
+		serving: "stock",
+		filler:  "loud",
+	}], 0.1)
 	assert.True(t, model.harmless("stock", "calm"))
 	assert.False(t, model.harmless("quotes", "loud"))
 }
@@ -38,18 +41,27 @@
 	for range 100 {
 		model.learn("quotes", 110*time.Millisecond, testTarget, map[string]float64{"calm": 0.1})
 	}
-	assert.Zero(t, model.press[pair{serving: "quotes", filler: "calm"}])
+	assert.Zero(t, model.press[pair{
+		serving: "quotes",
+		filler:  "calm",
+	}])
 }
 
 func TestBadPairFades(t *testing.T) {
 	model := newInterference()
-	model.press[pair{serving: "quotes", filler: "loud"}] = 10
+	model.press[pair{
+		serving: "quotes",
+		filler:  "loud",
+	}] = 10
 	now := testBegun
 	for range 120 {
 		now = now.Add(fadeInterval)
 		model.fade(now)
 	}
-	assert.Less(t, model.press[pair{serving: "quotes", filler: "loud"}], 2.0, "it gets another chance within two minutes")
+	assert.Less(t, model.press[pair{
+		serving: "quotes",
+		filler:  "loud",
+	}], 2.0, "it gets another chance within two minutes")
 }
 
 // Only the filler that presses is slowed, and it is let go when the tail is
@@ -76,7 +88,10 @@
 			inUse:   1000,
 		})
 	}
-	board.interference.press[pair{serving: "quotes", filler: "loud"}] = 10
+	board.interference.press[pair{
+		serving: "quotes",
+		filler:  "loud",
+	}] = 10
 	now := testBegun.Add(paceInterval)
 	w.heard = now
 	w.paced = testBegun.Add(-time.Second)
@@ -106,7 +121,10 @@
 		image:   "quotes",
 		target:  testTarget,
 	})
-	board.interference.press[pair{serving: "quotes", filler: "loud"}] = 20
+	board.interference.press[pair{
+		serving: "quotes",
+		filler:  "loud",
+	}] = 20
 	step := tasks(3, 1000)
 	step.Filler, step.Image = true, "loud"
 	board.AddJob(testJob("a", "plans", step), nil, false, testBegun, testBegun)
--- a/internal/process/schedule/stuck_test.go
+++ b/internal/process/schedule/stuck_test.go
@@ -33,11 +33,29 @@
 		tail    time.Duration
 		want    string
 	}{
-		"moves on":          {percent: func(i int) int { return i }},
-		"stands still":      {percent: func(int) int { return 7 }, want: "stands_still"},
-		"serves":            {serving: true, percent: func(int) int { return 100 }, tail: 50 * time.Millisecond},
-		"serves a bit late": {serving: true, percent: func(int) int { return 100 }, tail: 300 * time.Millisecond},
-		"hangs":             {serving: true, percent: func(int) int { return 100 }, tail: 40 * time.Second, want: "stands_still"},
+		"moves on": {
+			percent: func(i int) int { return i },
+		},
+		"stands still": {
+			percent: func(int) int { return 7 },
+			want:    "stands_still",
+		},
+		"serves": {
+			serving: true,
+			percent: func(int) int { return 100 },
+			tail:    50 * time.Millisecond,
+		},
+		"serves a bit late": {
+			serving: true,
+			percent: func(int) int { return 100 },
+			tail:    300 * time.Millisecond,
+		},
+		"hangs": {
+			serving: true,
+			percent: func(int) int { return 100 },
+			tail:    40 * time.Second,
+			want:    "stands_still",
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/work/job_test.go
+++ b/internal/request/work/job_test.go
@@ -25,45 +25,80 @@
 		want string
 	}{
 		"one step": {
-			job: Job{Steps: []Step{step()}},
+			job: Job{
+				Steps: []Step{step()},
+			},
 		},
 		"chain": {
-			job: Job{Steps: []Step{step(), step(0), step(0, 1)}},
+			job: Job{
+				Steps: []Step{step(), step(0), step(0, 1)},
+			},
 		},
 		"no steps": {
 			job:  Job{},
 			want: "no steps",
 		},
 		"cycle of one": {
-			job:  Job{Steps: []Step{step(0)}},
+			job: Job{
+				Steps: []Step{step(0)},
+			},
 			want: "not an earlier one",
 		},
 		"later step": {
-			job:  Job{Steps: []Step{step(1), step()}},
+			job: Job{
+				Steps: []Step{step(1), step()},
+			},
 			want: "not an earlier one",
 		},
 		"negative reference": {
-			job:  Job{Steps: []Step{step(-1)}},
+			job: Job{
+				Steps: []Step{step(-1)},
+			},
 			want: "not an earlier one",
 		},
 		"spec too long": {
-			job:  Job{Spec: strings.Repeat("x", MostSpecBytes+1), Steps: []Step{step()}},
+			job: Job{
+				Spec:  strings.Repeat("x", MostSpecBytes+1),
+				Steps: []Step{step()},
+			},
 			want: "the most is 4000",
 		},
 		"no tasks": {
-			job:  Job{Steps: []Step{{Count: 0}}},
+			job: Job{
+				Steps: []Step{{
+					Count: 0,
+				}},
+			},
 			want: "has 0 tasks",
 		},
 		"negative size": {
-			job:  Job{Steps: []Step{{Count: 1, Size: worker.Size{MilliCores: -1}}}},
+			job: Job{
+				Steps: []Step{{
+					Count: 1,
+					Size: worker.Size{
+						MilliCores: -1,
+					},
+				}},
+			},
 			want: "negative size",
 		},
 		"too many tasks": {
-			job:  Job{Steps: []Step{{Count: MostTasks}, {Count: 1}}},
+			job: Job{
+				Steps: []Step{{
+					Count: MostTasks,
+				}, {
+					Count: 1,
+				}},
+			},
 			want: "more than",
 		},
 		"too many tasks by repeats": {
-			job:  Job{Steps: []Step{{Count: 100}}, Repeat: MostTasks},
+			job: Job{
+				Steps: []Step{{
+					Count: 100,
+				}},
+				Repeat: MostTasks,
+			},
 			want: "more than",
 		},
 	}
@@ -140,10 +175,22 @@
 }
 
 func TestChainEstimate(t *testing.T) {
-	job := Job{Steps: []Step{
-		{Count: 1, Estimate: time.Second},
-		{Count: 1, Estimate: 5 * time.Second},
-		{Count: 1, Estimate: 2 * time.Second, After: []int{0}},
-	}}
+	job := Job{
+		Steps: []Step{
+			{
+				Count:    1,
+				Estimate: time.Second,
+			},
+			{
+				Count:    1,
+				Estimate: 5 * time.Second,
+			},
+			{
+				Count:    1,
+				Estimate: 2 * time.Second,
+				After:    []int{0},
+			},
+		},
+	}
 	assert.Equal(t, 5*time.Second, job.ChainEstimate(func(step *Step) time.Duration { return step.Estimate }))
 }
