--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -361,3 +361,25 @@
 	assert.Empty(t, board.Decide(testBegun, true).Starts)
 	assert.Equal(t, work.Cancelled, board.jobs["a"].progress.State)
 }
+
+// Found by a hunt: a start without an answer was repeated after the worker had
+// said that it leaves.
+func TestStartsAreNotRepeatedWhereNothingMayStart(t *testing.T) {
+	tests := map[string]func(board *Board){
+		"draining": func(board *Board) { board.workers["w0"].Draining = true },
+		"zone out": func(board *Board) { board.Evacuate(map[string]bool{"recife": true}) },
+	}
+	for name, happen := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			board.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, false, testBegun, testBegun)
+			effects := board.Decide(testBegun, true)
+			require.Len(t, effects.Starts, 1)
+			board.Replied(effects.Starts[0], Unknown, testBegun)
+			happen(board)
+			effects = board.Decide(testBegun, true)
+			assert.Empty(t, effects.Starts)
+			require.Len(t, effects.Stops, 1, "it may begin all the same")
+		})
+	}
+}
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -67,6 +67,10 @@
 		if held == nil || held.run != start.Run || !held.stopping.IsZero() {
 			continue
 		}
+		if w.Draining || b.evacuated[w.Zone] {
+			b.stop(w.ID, start.Key, start.Run, "no_answer")
+			continue
+		}
 		if !w.reachable {
 			// It would extend the leases of what runs there.
 			later = append(later, start)
