--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -383,3 +383,40 @@
 		})
 	}
 }
+
+// Workers that do not guard their room: what an earlier leader started and is
+// being stopped still takes it. Found by a hunt on such a deployment.
+func TestForeignRunsTakeRoomUntilTheyEnd(t *testing.T) {
+	board := testBoard("w0")
+	gone := testJob("gone", "plans", tasks(1, 8000))
+	board.AddJob(gone, nil, true, testBegun, testBegun)
+	board.Cancel("gone", testBegun)
+	row := RunningTask{
+		Key: firstTask("gone"),
+		Run: 1,
+	}
+	board.Heard("w0", Inventory{
+		Born:    testBorn,
+		Running: []RunningTask{row},
+		Sent:    testBegun,
+	}, testBegun)
+	board.AddJob(testJob("new", "plans", tasks(1, 1000)), nil, false, testBegun, testBegun)
+	effects := board.Decide(testBegun, true)
+	assert.Empty(t, effects.Starts)
+	require.Len(t, effects.Stops, 1)
+
+	later := testBegun.Add(time.Second)
+	board.Heard("w0", Inventory{
+		Born: testBorn,
+		Ended: []EndedTask{
+			{
+				Number: 1,
+				Key:    row.Key,
+				Run:    row.Run,
+				Ending: EndedStopped,
+			},
+		},
+		Sent: later,
+	}, later)
+	assert.Len(t, board.Decide(later, true).Starts, 1)
+}
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -89,10 +89,9 @@
 		}
 		for key, held := range w.claims {
 			j := b.jobs[key.Job]
-			if j == nil || !j.progress.State.Final() {
-				if held.retries <= mostRetries {
-					continue
-				}
+			over := j != nil && j.progress.State.Final()
+			if !over && !held.foreign && held.retries <= mostRetries {
+				continue
 			}
 			b.stop(w.ID, key, held.run, "over")
 		}
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -45,6 +45,8 @@
 	// barred is when a stop was answered: a run that is not listed in an
 	// answer to a later call has not begun and never will.
 	barred time.Time
+	// foreign runs belong to no task any more and are being stopped.
+	foreign bool
 	// retries counts repeated starts that got no answer.
 	retries int
 	filler  bool
@@ -347,13 +349,21 @@
 
 // adopt takes over a run that an earlier holder started, or has it stopped.
 func (b *Board) adopt(w *workerState, row RunningTask, now time.Time) *claim {
-	j := b.open[row.Key.Job]
+	j := b.jobs[row.Key.Job]
 	if j == nil {
 		b.stop(w.ID, row.Key, row.Run, "no_such_job")
 		return nil
 	}
 	_, step, t := j.find(row.Key)
-	if t == nil || t.phase != waiting || w.claims[row.Key] != nil {
+	if t == nil || w.claims[row.Key] != nil {
+		b.stop(w.ID, row.Key, row.Run, "not_wanted")
+		return nil
+	}
+	if b.open[row.Key.Job] == nil || t.phase != waiting {
+		// Nobody waits for it, but it takes its room until it has ended.
+		held := newClaim(step.spec, row.Run, now)
+		held.sure, held.foreign = true, true
+		w.book(row.Key, held)
 		b.stop(w.ID, row.Key, row.Run, "not_wanted")
 		return nil
 	}
@@ -394,7 +404,19 @@
 
 // claim books a run on a worker.
 func (b *Board) claim(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) *claim {
-	spec := step.spec
+	held := newClaim(step.spec, run, now)
+	w.book(t.key, held)
+	b.unreserve(t.key)
+	if t.phase == waiting {
+		step.waiting--
+	}
+	t.phase, t.worker, t.run = claimed, w.ID, run
+	j.claims++
+	return held
+}
+
+// newClaim is the room that a run of the step takes.
+func newClaim(spec *work.Step, run int64, now time.Time) *claim {
 	held := &claim{
 		run:     run,
 		size:    spec.Size,
@@ -411,13 +433,6 @@
 	if spec.Filler {
 		held.size.MilliCores = 0
 	}
-	w.book(t.key, held)
-	b.unreserve(t.key)
-	if t.phase == waiting {
-		step.waiting--
-	}
-	t.phase, t.worker, t.run = claimed, w.ID, run
-	j.claims++
 	return held
 }
 
