Every tail is looked at; long harm ends all fillers' work

Change: each tail over nine tenths of its target is seen to, and after half of the harm time all fillers on the worker stand still. Both tests fail without it.

--- a/internal/process/schedule/interference_test.go
+++ b/internal/process/schedule/interference_test.go
@@ -132,3 +132,76 @@
 	later := testBegun.Add(fillerPatience + time.Millisecond)
 	assert.Len(t, board.Decide(later, true).Starts, 1, "one, so that the job goes on")
 }
+
+// Found by a score: the longest tail of a worker was its own load's doing, and a
+// filler kept another one above its target for four seconds.
+func TestEveryTailIsLookedAt(t *testing.T) {
+	board := testBoard("w0")
+	w := board.workers["w0"]
+	for image, tail := range map[string]time.Duration{"own": 900 * time.Millisecond, "quotes": 200 * time.Millisecond} {
+		w.book(firstTask(image), &claim{
+			serving:  true,
+			sure:     true,
+			image:    image,
+			target:   testTarget,
+			tail:     tail,
+			progress: servingPercent,
+		})
+	}
+	w.book(firstTask("loud"), &claim{
+		filler:  true,
+		sure:    true,
+		image:   "loud",
+		percent: fullPace,
+		wants:   1000,
+		inUse:   1000,
+	})
+	board.interference.press[pair{
+		serving: "quotes",
+		filler:  "loud",
+	}] = 10
+	board.interference.seen[pair{
+		serving: "own",
+		filler:  "loud",
+	}] = 2 * enoughSeen
+	now := testBegun.Add(paceInterval)
+	w.heard, w.paced = now, testBegun.Add(-time.Second)
+	board.control(now)
+	require.Len(t, board.effects.Paces, 1)
+	assert.Zero(t, board.effects.Paces[0].Percent)
+}
+
+// Whoever is to blame: a tail that stays over its target ends all fillers' work
+// in time.
+func TestLongHarmEndsAllFillers(t *testing.T) {
+	board := testBoard("w0")
+	w := board.workers["w0"]
+	w.book(firstTask("s"), &claim{
+		serving:  true,
+		sure:     true,
+		image:    "quotes",
+		target:   testTarget,
+		tail:     200 * time.Millisecond,
+		over:     testBegun,
+		progress: servingPercent,
+	})
+	w.book(firstTask("calm"), &claim{
+		filler:  true,
+		sure:    true,
+		image:   "calm",
+		percent: fullPace,
+	})
+	board.interference.seen[pair{
+		serving: "quotes",
+		filler:  "calm",
+	}] = 2 * enoughSeen
+	now := testBegun.Add(testConfig().HarmTerm / 2)
+	w.heard, w.paced = now, testBegun
+	board.control(now)
+	assert.Empty(t, board.effects.Paces, "it is known as harmless")
+	now = now.Add(paceInterval)
+	w.heard = now
+	board.control(now)
+	require.Len(t, board.effects.Paces, 1)
+	assert.Zero(t, board.effects.Paces[0].Percent)
+}
--- a/internal/process/schedule/pacing.go
+++ b/internal/process/schedule/pacing.go
@@ -62,24 +62,31 @@
 	}
 }
 
+// controlWorker looks at every tail: the longest may be the doing of its own
+// load while fillers keep another above its target.
 func (b *Board) controlWorker(w *workerState, now time.Time) {
-	var worst *claim
-	ratioOf := func(held *claim) float64 { return float64(held.tail) / float64(held.target) }
+	worst := 0.0
 	for _, held := range w.claims {
-		if held.serving && held.progress >= servingPercent && (worst == nil || ratioOf(held) > ratioOf(worst)) {
-			worst = held
+		if !held.serving || held.progress < servingPercent {
+			continue
+		}
+		part := float64(held.tail) / float64(held.target)
+		worst = max(worst, part)
+		if part > tailHigh {
+			b.slow(w, held, now)
 		}
 	}
-	switch {
-	case worst != nil && ratioOf(worst) > tailHigh:
-		b.slow(w, worst, ratioOf(worst) > 1, now)
-	case worst == nil || ratioOf(worst) < tailLow:
+	if worst < tailLow {
 		b.speed(w, now)
 	}
 }
 
-// slow paces the fillers that press on a tail, or all if nobody is known to.
-func (b *Board) slow(w *workerState, tail *claim, over bool, now time.Time) {
+// slow paces the fillers that press on a tail, or all that may if nobody is
+// known to. After half of the time for which a tail may be over its target, all
+// fillers stand still, whoever is to blame.
+func (b *Board) slow(w *workerState, tail *claim, now time.Time) {
+	over := tail.tail > tail.target
+	urgent := over && !tail.over.IsZero() && now.Sub(tail.over) > b.config.HarmTerm/2
 	most := 0.0
 	for _, held := range w.claims {
 		if held.filler {
@@ -87,13 +94,7 @@
 		}
 	}
 	for key, held := range w.claims {
-		if !held.filler || !held.sure || held.percent == 0 {
-			continue
-		}
-		if most >= knownPressure && b.presses(w, tail, held) < blame*most {
-			continue
-		}
-		if most < knownPressure && b.interference.harmless(tail.image, held.image) {
+		if !held.filler || !held.sure || held.percent == 0 || !urgent && b.spared(w, tail, held, most) {
 			continue
 		}
 		percent := int(paceCut * float64(held.percent))
@@ -104,6 +105,15 @@
 	}
 }
 
+// spared tells whether a filler is not to blame for a tail on which the loudest
+// filler presses that much.
+func (b *Board) spared(w *workerState, tail, filler *claim, most float64) bool {
+	if most >= knownPressure {
+		return b.presses(w, tail, filler) < blame*most
+	}
+	return b.interference.harmless(tail.image, filler.image)
+}
+
 // presses is the pressure of one filler on one serving task at its present
 // use, or at full pace while it stands still.
 func (b *Board) presses(w *workerState, tail, filler *claim) float64 {
--- a/internal/process/schedule/world_test.go
+++ b/internal/process/schedule/world_test.go
@@ -34,6 +34,7 @@
 		StopGrace: worldGrace,
 		ActTerm:   worldAct,
 		ListGrace: 2500 * time.Millisecond,
+		HarmTerm:  4 * time.Second,
 		KeepEnded: time.Minute,
 	}
 }
