--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -25,8 +25,6 @@
 	// ListGrace is how long a worker may be missing from the list before it is
 	// taken as gone.
 	ListGrace time.Duration
-	// RemoteFactor is how many times as long a task runs away from its data.
-	RemoteFactor float64
 	// HarmTerm is how long a tail may be over its target by fillers' doing.
 	HarmTerm time.Duration
 	// KeepEnded is how long ended jobs are remembered.
