--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -68,13 +68,13 @@
 	weightAvoid  = 100.0
 	weightNear   = 10.0
 	weightHealth = 20.0
-	// weightClash weighs the pressure of a filler against unused cores.
-	weightClash = 4.0
+	// weightClash weighs the headroom that a filler takes against unused cores.
+	weightClash = 2.0
 	// weightKin weighs company of the same image against free room.
 	weightKin = 2.0
-	// mostClash is the pressure that a filler may put on a tail at most: a
-	// third longer, which a tail at two thirds of its target can bear.
-	mostClash = 0.3
+	// mostClash is the part of a tail's headroom above its target that a filler
+	// may take: the rest is for what its own load does meanwhile.
+	mostClash = 0.6
 )
 
 func (b *Board) score(w *workerState, step *stepState, t *task) float64 {
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -32,10 +32,12 @@
 	filler  bool
 	serving bool
 	lasting bool
-	// target is the bound of a serving task's tail latency, tail the newest
+	// target is the bound of a serving task's tail latency, latency the newest
 	// figure, and over since when it has been above it.
-	target, tail time.Duration
-	over         time.Time
+	target, latency time.Duration
+	over            time.Time
+	// tail is what is known of the latency beside fillers.
+	tail tail
 	image        string
 	// percent is the pace asked for, from 0 to 100.
 	percent int
@@ -99,6 +101,7 @@
 
 // book and unbook keep the sums over a worker's claims.
 func (w *workerState) book(key work.TaskKey, held *claim) {
+	w.slacks = nil
 	w.claims[key] = held
 	w.used = w.used.Plus(held.size)
 	w.idle -= held.reckoned()
@@ -112,6 +115,7 @@
 }
 
 func (w *workerState) unbook(key work.TaskKey, held *claim) {
+	w.slacks = nil
 	delete(w.claims, key)
 	w.used = w.used.Minus(held.size)
 	w.idle += held.reckoned()
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -23,7 +23,6 @@
 	if allowed && !b.fenced {
 		b.place(now)
 	}
-	b.interference.fade(now)
 	b.control(now)
 	out := b.effects
 	b.effects = Effects{}
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -146,7 +146,7 @@
 		held.inUse = row.MilliCores
 	}
 	if held.serving {
-		held.tail = row.Tail
+		held.latency = row.Tail
 		if held.target > 0 && row.Tail > held.target {
 			if held.over.IsZero() {
 				held.over = now
--- a/internal/process/schedule/pacing.go
+++ b/internal/process/schedule/pacing.go
@@ -1,36 +1,33 @@
 package schedule
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
-// Control of the fillers beside tasks that serve users. The tail is known with
-// half a second of lag, so that the effect of a change is awaited before the
-// next on the same worker.
+// Control of the fillers beside tasks that serve users. What a filler takes of
+// a tail's headroom is known, so that its pace is reckoned from the headroom
+// without fillers rather than tried out from the tail, which lags.
 const (
 	fullPace = 100
 	// unknownPace makes the pace be set again.
 	unknownPace = -1
-	// paceInterval is how long the effect of a change takes to be seen: the
+	// paceInterval is the least time between two rises of pace on a worker: the
 	// worker's half second of figures and a look.
 	paceInterval = 700 * time.Millisecond
-	// tailHigh and tailLow are shares of the target: above the first fillers
-	// are slowed, below the second they are let go, between them kept.
-	tailHigh = 0.9
-	tailLow  = 0.65
-	// paceCut multiplies the pace when tails are too long, paceStep is added
-	// when they are short again. Below paceFloor fillers stand still.
-	paceCut   = 0.5
-	paceStep  = 25
+	// keptHeadroom is left of a tail's headroom by fillers: a tail of nine
+	// tenths of its target, and what its own load may take until the next look.
+	keptHeadroom = 1.25
+	// shortHeadroom is that of a tail which is near its target, whatever was
+	// reckoned.
+	shortHeadroom = 1.1
+	// paceStep is the least rise of pace that is worth an order. Below paceFloor
+	// fillers stand still.
+	paceStep  = 15
 	paceFloor = 15
-	// blame is the share of the worst pressure on a tail from which on a filler
-	// is slowed with the one that presses most.
-	blame = 0.5
-	// knownPressure is the least pressure that explains a long tail; below it
-	// nobody is known to be at fault, and all fillers are slowed.
-	knownPressure = 0.15
 )
 
 // stillPatience is how long a filler stands still where it disturbs before it
@@ -55,91 +52,114 @@
 // control slows fillers where serving tasks are near their target.
 func (b *Board) control(now time.Time) {
 	for _, w := range b.workers {
-		if w.reachable && w.heardUnder == b.token && now.Sub(w.paced) >= paceInterval && w.heard.After(w.paced) {
+		if w.reachable && w.heardUnder == b.token && w.heard.After(w.controlled) && len(w.fillers) > 0 {
+			w.controlled = now
 			b.controlWorker(w, now)
 			b.moveStill(w, now)
 		}
 	}
 }
 
-// controlWorker looks at every tail: the longest may be the doing of its own
-// load while fillers keep another above its target.
+// paced is a filler with the pace that it should have.
+type paced struct {
+	key  work.TaskKey
+	held *claim
+	// part is the share of the worker's cores that it uses at full pace.
+	part    float64
+	percent float64
+}
+
+// controlWorker gives each filler the pace that all tails of the worker bear.
 func (b *Board) controlWorker(w *workerState, now time.Time) {
-	worst := 0.0
-	for _, held := range w.claims {
-		if !held.serving || held.progress < servingPercent {
-			continue
+	var fillers []*paced
+	for key, held := range w.claims {
+		if held.filler && held.sure && held.stopping.IsZero() {
+			fillers = append(fillers, &paced{
+				key:     key,
+				held:    held,
+				part:    ratio(held.fullUse(), w.Capacity.MilliCores),
+				percent: fullPace,
+			})
 		}
-		part := float64(held.tail) / float64(held.target)
-		worst = max(worst, part)
-		if part > tailHigh {
-			b.slow(w, held, now)
+	}
+	slices.SortFunc(fillers, func(a, c *paced) int { return compareKeys(a.key, c.key) })
+	for _, serving := range w.claims {
+		if serving.servesNow() {
+			b.fitTo(serving, fillers, now)
 		}
 	}
-	if worst < tailLow {
-		b.speed(w, now)
+	rise := now.Sub(w.paced) >= paceInterval
+	for _, one := range fillers {
+		percent := int(one.percent)
+		if percent < paceFloor {
+			percent = 0
+		}
+		had := one.held.percent
+		if percent < had || had == unknownPace || rise && (percent >= had+paceStep || percent == fullPace && had < fullPace) {
+			b.pace(w, one.key, one.held, percent, now)
+		}
 	}
 }
 
-// slow paces the fillers that press on a tail, or all that may if nobody is
-// known to. After half of the time for which a tail may be over its target, all
-// fillers stand still, whoever is to blame.
-func (b *Board) slow(w *workerState, tail *claim, now time.Time) {
-	over := tail.tail > tail.target
-	urgent := over && !tail.over.IsZero() && now.Sub(tail.over) > b.config.HarmTerm/2
-	most := 0.0
-	for _, held := range w.claims {
-		if held.filler {
-			most = max(most, b.presses(w, tail, held))
+// fitTo lowers the pace of fillers until a tail keeps its headroom, those first
+// that take most of it for each core. A tail that has been over its target for
+// half of the time that it may be makes all of them stand still, whoever is to
+// blame.
+func (b *Board) fitTo(serving *claim, fillers []*paced, now time.Time) {
+	over := serving.latency > serving.target && !serving.over.IsZero()
+	if over && now.Sub(serving.over) > b.config.HarmTerm/2 {
+		for _, one := range fillers {
+			one.percent = 0
 		}
+		return
 	}
-	for key, held := range w.claims {
-		if !held.filler || !held.sure || held.percent == 0 || !urgent && b.spared(w, tail, held, most) {
-			continue
+	excess := keptHeadroom - serving.tail.own.value
+	for _, one := range fillers {
+		excess += b.interference.cautious(serving.image, one.held.image) * one.part * one.percent / fullPace
+	}
+	if serving.tail.headroom < shortHeadroom {
+		excess = max(excess, keptHeadroom-serving.tail.headroom)
+	}
+	order := slices.Clone(fillers)
+	slices.SortStableFunc(order, func(a, c *paced) int {
+		return cmp.Compare(b.interference.cautious(serving.image, c.held.image), b.interference.cautious(serving.image, a.held.image))
+	})
+	for _, one := range order {
+		if excess <= 0 {
+			return
 		}
-		percent := int(paceCut * float64(held.percent))
-		if percent < paceFloor || over {
-			percent = 0
+		press := b.interference.cautious(serving.image, one.held.image)
+		if press < harmlessPress {
+			return // standing still would not help the tail
 		}
-		b.pace(w, key, held, percent, now)
-	}
-}
-
-// spared tells whether a filler is not to blame for a tail on which the loudest
-// filler presses that much.
-func (b *Board) spared(w *workerState, tail, filler *claim, most float64) bool {
-	if most >= knownPressure {
-		return b.presses(w, tail, filler) < blame*most
+		takes := press * one.part * one.percent / fullPace
+		if takes <= excess {
+			one.percent = 0
+		} else {
+			one.percent *= 1 - excess/takes
+		}
+		excess -= takes
 	}
-	return b.interference.harmless(tail.image, filler.image)
 }
 
-// presses is the pressure of one filler on one serving task at its present
-// use, or at full pace while it stands still.
-func (b *Board) presses(w *workerState, tail, filler *claim) float64 {
-	use := max(filler.inUse, filler.wants/4)
-	return b.interference.press[pair{
-		serving: tail.image,
-		filler:  filler.image,
-	}] * ratio(use, w.Capacity.MilliCores)
-}
+// harmlessPress is the press below which a filler of a tenth of the cores takes
+// less than a fifteenth of a target.
+const harmlessPress = 0.7
 
-// speed lets fillers go again, those that press least first: one step at a time.
-func (b *Board) speed(w *workerState, now time.Time) {
-	for key, held := range w.claims {
-		if !held.filler || !held.sure || held.percent >= fullPace {
-			continue
-		}
-		if b.loudness(w, held.image, held.wants*int64(held.percent+paceStep)/fullPace) > mostClash {
-			continue
-		}
-		b.pace(w, key, held, min(fullPace, held.percent+paceStep), now)
+// fullUse is the processor time, in thousandths of a core, that a filler uses
+// at full pace.
+func (c *claim) fullUse() int64 {
+	if c.inUse > 0 && c.percent == fullPace {
+		return c.inUse
 	}
+	return c.wants
 }
 
 func (b *Board) pace(w *workerState, key work.TaskKey, held *claim, percent int, now time.Time) {
+	if percent > held.percent {
+		w.paced = now
+	}
 	held.percent = percent
-	w.paced = now
 	if percent > 0 {
 		held.still = time.Time{}
 	} else if held.still.IsZero() {
--- a/internal/process/schedule/stuck.go
+++ b/internal/process/schedule/stuck.go
@@ -40,7 +40,7 @@
 func (c *claim) stands(now time.Time) bool {
 	switch {
 	case c.serving:
-		return c.target > 0 && c.tail > hungTail*c.target && !c.over.IsZero() && now.Sub(c.over) > hungAfter
+		return c.target > 0 && c.latency > hungTail*c.target && !c.over.IsZero() && now.Sub(c.over) > hungAfter
 	case c.lasting || c.percent == 0:
 		return false
 	}
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -64,8 +64,11 @@
 	// the connection since it was heard.
 	drainSeen time.Time
 	closed    bool
-	// paced is when the pace of a filler was last changed.
-	paced time.Time
+	// paced is when the pace of a filler was last raised, controlled when all
+	// were last reckoned.
+	paced, controlled time.Time
+	// slacks are reckoned when they are needed, nil after a change of the runs.
+	slacks []slack
 }
 
 // SetWorkers takes the list in, whole. Steady says that the list is current:
