--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -98,6 +98,9 @@
 	// lookWait is how long a look waits for an end. Leases of workers are
 	// renewed at least that often, and last three times as long.
 	lookWait = 1500 * time.Millisecond
+	// watchWait is the same where fillers run beside serving tasks, whose
+	// figures are of the last half second.
+	watchWait = 500 * time.Millisecond
 	// lookGap is the least time between two looks at a worker, so that ends
 	// which come together are heard together.
 	lookGap = 40 * time.Millisecond
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -77,6 +77,9 @@
 		}
 		seen, _ := r.leader.board.LastSeen(id)
 		wait := lookWait
+		if r.leader.board.Watched(id) {
+			wait = watchWait
+		}
 		if one.anew {
 			seen, wait = 0, 0
 		}
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -33,7 +33,7 @@
 	serving bool
 	lasting bool
 	// target is the bound of a serving task's tail latency, latency the newest
-	// figure, and over since when it has been above it.
+	// figure, and over since when it has been above it, or nearly.
 	target, latency time.Duration
 	over            time.Time
 	// tail is what is known of the latency beside fillers.
--- a/internal/process/schedule/interference.go
+++ b/internal/process/schedule/interference.go
@@ -286,6 +286,13 @@
 	return w.slacks
 }
 
+// Watched tells whether a worker's figures are wanted soon: its fillers may
+// have to be slowed before one of its runs ends.
+func (b *Board) Watched(id string) bool {
+	w := b.workers[id]
+	return w != nil && len(w.fillers) > 0 && len(w.serving) > 0
+}
+
 // forecast is the own headroom of a serving task for the time of a filler: it
 // swings back towards what is usual, and may well come from above.
 func (b *Board) forecast(held *claim) float64 {
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -147,7 +147,7 @@
 	}
 	if held.serving {
 		held.latency = row.Tail
-		if held.target > 0 && row.Tail > held.target {
+		if held.target > 0 && float64(row.Tail)*shortHeadroom > float64(held.target) {
 			if held.over.IsZero() {
 				held.over = now
 			}
--- a/internal/process/schedule/pacing.go
+++ b/internal/process/schedule/pacing.go
@@ -106,8 +106,7 @@
 // half of the time that it may be makes all of them stand still, whoever is to
 // blame.
 func (b *Board) fitTo(serving *claim, fillers []*paced, now time.Time) {
-	over := serving.latency > serving.target && !serving.over.IsZero()
-	if over && now.Sub(serving.over) > b.config.HarmTerm/2 {
+	if !serving.over.IsZero() && now.Sub(serving.over) > b.config.HarmTerm/2 {
 		for _, one := range fillers {
 			one.percent = 0
 		}
@@ -115,7 +114,7 @@
 	}
 	excess := keptHeadroom - serving.tail.own.value
 	for _, one := range fillers {
-		excess += b.interference.cautious(serving.image, one.held.image) * one.part * one.percent / fullPace
+		excess += b.interference.press(serving.image, one.held.image) * one.part * one.percent / fullPace
 	}
 	if serving.tail.headroom < shortHeadroom {
 		excess = max(excess, keptHeadroom-serving.tail.headroom)
