--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -37,8 +37,8 @@
 	target, latency time.Duration
 	over            time.Time
 	// tail is what is known of the latency beside fillers.
-	tail tail
-	image        string
+	tail  tail
+	image string
 	// percent is the pace asked for, from 0 to 100.
 	percent int
 	// still is since when a filler has been made to stand still, or nearly.
--- a/internal/process/schedule/interference.go
+++ b/internal/process/schedule/interference.go
@@ -107,19 +107,6 @@
 	return firstPress
 }
 
-// cautious is the press to be reckoned with where a tail must be kept: a
-// standard deviation above the mean.
-func (f *interference) cautious(serving, filler string) float64 {
-	known := f.presses[pair{
-		serving: serving,
-		filler:  filler,
-	}]
-	if known == nil {
-		return firstPress + math.Sqrt(firstPressVariance)
-	}
-	return known.value + math.Sqrt(known.variance+swing*swing*known.value*known.value)
-}
-
 // belief is what is held of a pair, to be improved.
 func (f *interference) belief(serving, filler string, now time.Time) *belief {
 	key := pair{
@@ -276,7 +263,7 @@
 			}
 		}
 		for filler, wants := range w.fillers {
-			left -= b.interference.cautious(image, filler) * usualUse * ratio(wants, w.Capacity.MilliCores)
+			left -= b.interference.press(image, filler) * usualUse * ratio(wants, w.Capacity.MilliCores)
 		}
 		w.slacks = append(w.slacks, slack{
 			image: image,
@@ -305,7 +292,7 @@
 func (b *Board) clash(w *workerState, image string, milliCores int64) float64 {
 	worst := 0.0
 	for _, one := range b.slacksOf(w) {
-		takes := b.interference.cautious(one.image, image) * usualUse * ratio(milliCores, w.Capacity.MilliCores)
+		takes := b.interference.press(one.image, image) * usualUse * ratio(milliCores, w.Capacity.MilliCores)
 		worst = max(worst, takes/max(leastSlack, one.left-1))
 	}
 	return worst
--- a/internal/process/schedule/pacing.go
+++ b/internal/process/schedule/pacing.go
@@ -18,9 +18,9 @@
 	// paceInterval is the least time between two rises of pace on a worker: the
 	// worker's half second of figures and a look.
 	paceInterval = 700 * time.Millisecond
-	// keptHeadroom is left of a tail's headroom by fillers: a tail of nine
-	// tenths of its target, and what its own load may take until the next look.
-	keptHeadroom = 1.25
+	// keptHeadroom is left of a tail's headroom by fillers: a tail of seven
+	// eighths of its target, as its own load may rise until the next look.
+	keptHeadroom = 1.15
 	// shortHeadroom is that of a tail which is near its target, whatever was
 	// reckoned.
 	shortHeadroom = 1.1
@@ -121,13 +121,13 @@
 	}
 	order := slices.Clone(fillers)
 	slices.SortStableFunc(order, func(a, c *paced) int {
-		return cmp.Compare(b.interference.cautious(serving.image, c.held.image), b.interference.cautious(serving.image, a.held.image))
+		return cmp.Compare(b.interference.press(serving.image, c.held.image), b.interference.press(serving.image, a.held.image))
 	})
 	for _, one := range order {
 		if excess <= 0 {
 			return
 		}
-		press := b.interference.cautious(serving.image, one.held.image)
+		press := b.interference.press(serving.image, one.held.image)
 		if press < harmlessPress {
 			return // standing still would not help the tail
 		}
@@ -142,8 +142,8 @@
 }
 
 // harmlessPress is the press below which a filler of a tenth of the cores takes
-// less than a fifteenth of a target.
-const harmlessPress = 0.7
+// less than a tenth of a target.
+const harmlessPress = 1.0
 
 // fullUse is the processor time, in thousandths of a core, that a filler uses
 // at full pace.
