No lease beyond a leader's right

Cause: looks went on extending leases without bound while the leader could not confirm its leadership, but a taker waits for the longest lease that was asked for within ActTerm. With a zone cut off for over nine seconds together with its leader, tasks there would have been started a second time elsewhere. Change: no lease is asked for once the time to act unconfirmed has passed. Ruled out: a longer wait of takers, which would hold up all inherited work.

--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -32,6 +32,9 @@
 	starts map[work.TaskKey]int
 	// forgotten counts the ends that could be forgotten.
 	forgotten int
+	// looked is when the newest look came, leased the newest that asked for a
+	// lease.
+	looked, leased time.Time
 }
 
 func newFakeWorkers() *fakeWorkers {
@@ -61,6 +64,10 @@
 		return schedule.Inventory{}, 0, ErrFenced
 	}
 	f.token = look.Token
+	f.looked = time.Now()
+	if look.Until > 0 {
+		f.leased = f.looked
+	}
 	var kept []schedule.EndedTask
 	for _, end := range f.ended[target.ID] {
 		if end.Number > look.LastSeen {
@@ -344,3 +351,25 @@
 	one.workers.mu.Unlock()
 	require.Eventually(t, func() bool { return !state(leading, "a").Known }, ActTerm/2, 10*time.Millisecond)
 }
+
+// Load pattern: a zone is cut off with its leader and its workers. A taker waits
+// for the longest lease that the leader may have asked for while it could not
+// confirm its leadership; later ones would let a task run twice.
+func TestNoLeaseBeyondTheRight(t *testing.T) {
+	one := newSite(t)
+	leading, _ := one.lead("recife-1")
+	one.submit("a")
+	one.wait(leading, "a")
+	one.store.SetFault(func(string) error { return store.ErrUnavailable }, false)
+	cut := time.Now()
+	time.Sleep(ActTerm + 2*lookGap)
+	from := time.Now()
+	require.Eventually(t, func() bool {
+		one.workers.mu.Lock()
+		defer one.workers.mu.Unlock()
+		return one.workers.looked.After(from.Add(10 * lookGap))
+	}, patience, lookGap, "it goes on looking")
+	one.workers.mu.Lock()
+	defer one.workers.mu.Unlock()
+	assert.LessOrEqual(t, one.workers.leased.Sub(cut), ActTerm)
+}
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -100,11 +100,13 @@
 
 // leaseFor is the longest lease that may be asked for now. A look at a worker
 // that does not answer asks for none: what runs there has to be over some day.
+// Nor does one beyond the time for which a leader may act unconfirmed: a taker
+// that cannot hear the worker reckons with no later lease.
 func (r *reign) leaseFor(one *link, now time.Time) Lease {
 	lease := Lease{
 		Token: r.token,
 	}
-	if one.clock > 0 {
+	if one.clock > 0 && now.Before(r.actUntil) {
 		lease.Until = one.clock + now.Sub(one.clockAt) + r.leader.config.Board.LeaseTerm
 		r.leader.board.Extended(one.target.ID, now)
 	}
