--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -18,8 +18,7 @@
 // ErrFenced marks a look that the worker refused for a higher token.
 var ErrFenced = errors.New("worker has seen a higher token")
 
-// ErrClosed marks a look that the worker's side ended by closing the
-// connection, or that nobody listens for any more.
+// ErrClosed marks a look that the worker's side ended by closing the connection.
 var ErrClosed = errors.New("worker closed the connection")
 
 // Target is the worker that a call is for.
@@ -107,6 +106,9 @@
 	// undurableGap is the least time while ends wait for the store, since a
 	// look then returns at once.
 	undurableGap = 150 * time.Millisecond
+	// drainGap is the least time for a worker that drains: an end that is heard
+	// just before it leaves need not be run again.
+	drainGap = 20 * time.Millisecond
 	// retryGap is the time between looks at a worker that does not answer.
 	retryGap = 250 * time.Millisecond
 	// gatherEnds is how long the end of a job waits for others to share a
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -175,8 +175,13 @@
 		klog.InfoS("run ended", "job", end.Key.Job, "task", end.Key, "run", end.Run, "worker", k.target.ID,
 			"ending", end.Ending, "number", end.Number)
 	}
-	k.due = now.Add(lookGap)
-	if board.Undurable(k.target.ID) {
-		k.due = now.Add(undurableGap)
+	gap := lookGap
+	switch {
+	case k.reign.listings[k.target.ID].Draining:
+		gap = drainGap
+		time.AfterFunc(gap, func() { k.reign.post(func(time.Time) {}) }) // the loop takes a step
+	case board.Undurable(k.target.ID):
+		gap = undurableGap
 	}
+	k.due = now.Add(gap)
 }
