--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -138,7 +138,8 @@
 	summaryInterval = time.Second
 	// tick is the longest time between two decisions.
 	tick = 100 * time.Millisecond
-	// decideGap is the least time between two decisions.
+	// decideGap is the least time between two decisions, and between two rounds
+	// of looks: both go through all workers.
 	decideGap = 15 * time.Millisecond
 	// pruneInterval is the least time between two writes that only take workers
 	// off the roster.
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -123,12 +123,12 @@
 		return
 	}
 	l.reign.renew(ctx, now)
-	l.reign.look(now)
 	if wait := decideGap - now.Sub(l.decided); wait > 0 {
 		l.reign.wakeIn(wait)
 		return
 	}
 	l.decided = now
+	l.reign.look(now)
 	allowed := now.Before(l.reign.actUntil)
 	l.reign.carryOut(l.board.Decide(now, allowed), now)
 	l.reign.record(now)
