Starts are decided on as they can be sent

Change: a decision makes no more starts than keep all calls busy. Test: TestWorkWaitsToBeDecidedNotInLine.

--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -131,6 +131,9 @@
 	// Few, so that each is answered well within its timeout on a small host;
 	// the rest wait their turn without a timer running.
 	mostCalls = 32
+	// mostOrders bounds the orders that wait for a call when starts are decided
+	// on: enough to keep all calls busy until the next decision.
+	mostOrders = 2 * mostCalls
 	// mostQuestions bounds the calls for tickets under way at a time: the
 	// service takes them in turn and turns away more than 32.
 	mostQuestions = 8
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -129,6 +129,7 @@
 	}
 	l.decided = now
 	l.reign.look(now)
+	l.board.LimitStarts(mostOrders - len(l.reign.waiting))
 	allowed := now.Before(l.reign.actUntil)
 	l.reign.carryOut(l.board.Decide(now, allowed), now)
 	l.reign.record(now)
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -8,6 +8,7 @@
 package schedule
 
 import (
+	"math"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/request/work"
@@ -58,6 +59,8 @@
 	// evacuated zones get no new task.
 	evacuated map[string]bool
 
+	// startsLeft is how many more starts may be decided on now.
+	startsLeft   int
 	reservations map[work.TaskKey]reservation
 	// reserveLeft is how many more may be made in this decision.
 	reserveLeft  int
@@ -84,9 +87,18 @@
 		estimates:    newEstimates(),
 		interference: newInterference(),
 		dirty:        map[string]*job{},
+		startsLeft:   math.MaxInt,
 	}
 }
 
+// LimitStarts tells how many starts the holder can send before the next
+// decision. Load pattern: many wide jobs come at once to a holder with little
+// processor time; what is decided on early then waits in line as an order, and
+// a quick job that comes later waits behind it.
+func (b *Board) LimitStarts(most int) {
+	b.startsLeft = max(0, most)
+}
+
 // Begin starts a leadership under a token above all earlier ones. What is
 // known of jobs and workers stays; every worker has to be heard anew.
 func (b *Board) Begin(token int64, now time.Time) {
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -420,3 +420,21 @@
 	}, later)
 	assert.Len(t, board.Decide(later, true).Starts, 1)
 }
+
+// Load pattern: a holder can send few orders; a wide job came first, a quick
+// answer after it. The quick one is not kept waiting behind the wide one's
+// orders.
+func TestWorkWaitsToBeDecidedNotInLine(t *testing.T) {
+	board := testBoard("w0", "w1", "w2", "w3")
+	board.AddJob(testJob("wide", "plans", tasks(30, 1000)), nil, false, testBegun, testBegun)
+	board.LimitStarts(4)
+	assert.Len(t, board.Decide(testBegun, true).Starts, 4)
+	board.AddJob(testJob("quick", "quotes", tasks(2, 1000)), nil, false, testBegun, testBegun)
+	board.LimitStarts(4)
+	starts := board.Decide(testBegun, true).Starts
+	require.Len(t, starts, 4)
+	assert.Equal(t, "quick", starts[0].Key.Job)
+	assert.Equal(t, "quick", starts[1].Key.Job)
+	board.LimitStarts(0)
+	assert.Empty(t, board.Decide(testBegun, true).Starts)
+}
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -149,6 +149,7 @@
 		}
 		return
 	}
+	b.startsLeft -= len(step.tasks)
 	checkpoint := gangCheckpoint(step)
 	for i, t := range step.tasks {
 		b.effects.Starts = append(b.effects.Starts, Start{
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -166,6 +166,9 @@
 	full := map[string]*shortage{}
 	pools := map[poolKey][]*workerState{}
 	for _, one := range waiting {
+		if b.startsLeft <= 0 {
+			return
+		}
 		key := poolKey{
 			service: b.serviceOf(one.job),
 			lasting: one.rank.lasting,
@@ -294,6 +297,9 @@
 		return
 	}
 	for _, t := range step.tasks {
+		if b.startsLeft <= 0 {
+			return
+		}
 		if t.phase != waiting || now.Before(t.notBefore) {
 			continue
 		}
@@ -326,6 +332,7 @@
 }
 
 func (b *Board) start(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) {
+	b.startsLeft--
 	b.claim(w, j, step, t, run, now)
 	b.effects.Starts = append(b.effects.Starts, Start{
 		Worker:     w.ID,
