Heirs begin with what the leader before has learned

Change: the leader writes what it has learned every two seconds while work moves on; a taker reads it. It is advice only. Tests: TestHeirKnowsWhatWasLearned, TestLearnedIsRecalled, TestUnreadableLearnedIsLeftOut. Ruled out: keeping it with each end (a write more for each commit).

--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -113,6 +113,7 @@
 	progress map[string]*work.Progress
 	cancels  []string
 	roster   []schedule.Listing
+	learned  schedule.Learned
 	// sequence is the revision of the key that orders commits.
 	sequence int64
 	revision int64
@@ -215,6 +216,11 @@
 		return err
 	}
 	got.sequence = sequence.Revision
+	learned, err := client.Get(ctx, keyLearned)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return err
+	}
+	got.learned = decodeLearned(learned.Value)
 	listing, err := client.List(ctx, prefixWork)
 	if err != nil {
 		return err
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -147,6 +147,9 @@
 	// pruneInterval is the least time between two writes that only take workers
 	// off the roster.
 	pruneInterval = time.Second
+	// learnedInterval is how often what was learned is written: a leader that
+	// dies takes that much with it.
+	learnedInterval = 2 * time.Second
 	// forgetInterval is how often old records are dropped.
 	forgetInterval = 5 * time.Second
 )
@@ -166,6 +169,8 @@
 	// keyEpoch changes with every leadership and never goes.
 	keyEpoch  = "mustardreach/epoch"
 	keyRoster = "mustardreach/roster"
+	// keyLearned has what the schedule has learned.
+	keyLearned = "mustardreach/learned"
 	// keySequence is written by every commit of a leader.
 	keySequence = "mustardreach/sequence"
 )
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -134,6 +134,7 @@
 	l.reign.carryOut(l.board.Decide(now, allowed), now)
 	l.reign.record(now)
 	l.reign.forget(now)
+	l.reign.keepLearned(now)
 	l.reign.summarise(now)
 }
 
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -373,3 +373,39 @@
 	defer one.workers.mu.Unlock()
 	assert.LessOrEqual(t, one.workers.leased.Sub(cut), ActTerm)
 }
+
+// Load pattern: leaders are stopped one after the other; each begins with what
+// the one before has learned.
+func TestHeirKnowsWhatWasLearned(t *testing.T) {
+	one := newSite(t)
+	known := schedule.Learned{
+		Presses: []schedule.LearnedPress{{
+			Serving:  "quotes",
+			Filler:   "plans",
+			Press:    9,
+			Variance: 0.5,
+		}},
+	}
+	value, err := cbor.Marshal(known)
+	require.NoError(t, err)
+	one.put(keyLearned, value)
+	first, end := one.lead("recife-1")
+	one.submit("a")
+	one.wait(first, "a")
+	written := schedule.Learned{}
+	require.Eventually(t, func() bool {
+		item, err := one.store.Client().Get(context.Background(), keyLearned)
+		return err == nil && cbor.Unmarshal(item.Value, &written) == nil && len(written.Work) > 0
+	}, patience, 10*time.Millisecond)
+	assert.Equal(t, known.Presses, written.Presses)
+	end()
+	second, _ := one.lead("olinda-1")
+	one.wait(second, "a")
+	recalled := make(chan schedule.Learned, 1)
+	second.post(func(time.Time) { recalled <- second.board.Learned() })
+	assert.Equal(t, known.Presses, (<-recalled).Presses)
+}
+
+func TestUnreadableLearnedIsLeftOut(t *testing.T) {
+	assert.Empty(t, decodeLearned([]byte("not cbor")).Presses)
+}
--- a/internal/process/leader/reign.go
+++ b/internal/process/leader/reign.go
@@ -44,6 +44,7 @@
 	recordedAt  time.Time
 	forgottenAt time.Time
 	roster      rosterState
+	learned     learnedState
 	writer      writer
 	summarised  time.Time
 	waking      bool
@@ -74,6 +75,7 @@
 	l.board.SetCatalog(l.catalog)
 	l.board.Evacuate(l.evacuated)
 	l.board.Begin(got.token, now)
+	l.board.Recall(got.learned, now)
 	l.board.Remember(got.roster, now)
 	r.roster.stored = rosterKeys(got.roster)
 	for _, one := range got.jobs {
--- a/internal/process/schedule/interference_test.go
+++ b/internal/process/schedule/interference_test.go
@@ -222,3 +222,15 @@
 		})
 	}
 }
+
+func TestLearnedIsRecalled(t *testing.T) {
+	board := testBoard("w0")
+	setPress(board, "quotes", "loud", 9)
+	setPress(board, "stock", "calm", 0.5)
+	board.interference.typical["quotes"] = 3
+	board.estimates.factors["plans"] = 1.4
+	board.estimates.work["plans"] = 20000
+	heir := testBoard("w0")
+	heir.Recall(board.Learned(), testBegun)
+	assert.Equal(t, board.Learned(), heir.Learned())
+}
