--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -438,3 +438,35 @@
 	board.LimitStarts(0)
 	assert.Empty(t, board.Decide(testBegun, true).Starts)
 }
+
+// Load pattern: quick answers keep coming while a lasting task waits for room.
+// Found by a hunt at 350 workers: a watcher that had failed was away for over
+// six seconds, with room for it.
+func TestOverdueLastingTaskGoesFirst(t *testing.T) {
+	tests := map[string]struct {
+		away  time.Duration
+		first string
+	}{
+		"just handed in": {
+			first: "quick",
+		},
+		"away for long": {
+			away:  overdueAfter + time.Millisecond,
+			first: "watcher",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			lasting := tasks(1, 1000)
+			lasting.Lasting = true
+			board.AddJob(testJob("watcher", "quotes", lasting), nil, false, testBegun, testBegun)
+			now := testBegun.Add(tt.away)
+			board.AddJob(testJob("quick", "quotes", tasks(1, 1000)), nil, false, now, now)
+			board.LimitStarts(1)
+			starts := board.Decide(now, true).Starts
+			require.Len(t, starts, 1)
+			assert.Equal(t, tt.first, starts[0].Key.Job)
+		})
+	}
+}
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -105,6 +105,9 @@
 
 // rank orders jobs: lower goes first, field by field.
 type rank struct {
+	// overdue jobs have a lasting task that has been away for long: its users
+	// are not served meanwhile, and it needs little of a decision.
+	overdue bool
 	// priority is the queue's.
 	priority int
 	// lasting jobs hold their room for long and earn little with it: quick ones
@@ -119,6 +122,11 @@
 
 func compareRanks(a, c candidate) int {
 	switch {
+	case a.rank.overdue != c.rank.overdue:
+		if a.rank.overdue {
+			return -1
+		}
+		return 1
 	case a.rank.priority != c.rank.priority:
 		return cmp.Compare(a.rank.priority, c.rank.priority)
 	case a.rank.lasting != c.rank.lasting:
@@ -144,6 +152,7 @@
 	slack := j.objective.Sub(now) - j.todo
 	lasting := j.work.Lasting()
 	return rank{
+		overdue:  lasting && j.overdue(now),
 		priority: j.priority,
 		lasting:  lasting,
 		late:     slack < 0 && !lasting,
@@ -151,6 +160,28 @@
 	}
 }
 
+// overdueAfter is how long a lasting task may be away before it goes before all
+// else: a third of the time after which its users count it as lost.
+const overdueAfter = 2 * time.Second
+
+// overdue tells whether a lasting task of the job has been away for long.
+func (j *job) overdue(now time.Time) bool {
+	for _, one := range j.occurrences {
+		for _, step := range one.steps {
+			for _, t := range step.tasks {
+				away := t.over
+				if away.Before(j.arrived) {
+					away = j.arrived
+				}
+				if t.phase == waiting && now.Sub(away) > overdueAfter {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // place goes through the waiting tasks in order and starts what fits.
 func (b *Board) place(now time.Time) {
 	waiting := make([]candidate, 0, len(b.open))
