Progress is written beside the ends of jobs

Change: ends of jobs go first and other progress fills the commit. Test: TestProgressIsWrittenBesideEndsOfJobs, red before. Ruled out: slow commits (10 ms each), lost looks.

--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -115,7 +115,7 @@
 	r.writer.sequence = sequence
 }
 
-// record writes progress: ends of jobs soon, the rest in larger batches.
+// record writes progress: ends of jobs soon, the rest with them or in batches.
 func (r *reign) record(now time.Time) {
 	if r.recording || r.vacant || now.Sub(r.recordedAt) < gatherEnds {
 		return
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -470,3 +470,20 @@
 		})
 	}
 }
+
+// Load pattern: some job ends every few milliseconds. Found after growth: the
+// progress of all others was never written, and no end of theirs forgotten.
+func TestProgressIsWrittenBesideEndsOfJobs(t *testing.T) {
+	board := testBoard("w0")
+	for _, id := range []string{"a", "b", "c"} {
+		board.AddJob(testJob(id, "plans", tasks(2, 100)), nil, false, testBegun, testBegun)
+		board.touch(board.jobs[id])
+	}
+	assert.Empty(t, board.Records(false, 10), "nothing is urgent")
+	board.Cancel("c", testBegun)
+	records := board.Records(false, 2)
+	require.Len(t, records, 2)
+	assert.Equal(t, "c", records[0].Job, "ends go first")
+	assert.Equal(t, "a", records[1].Job)
+	assert.Len(t, board.Records(true, 10), 1)
+}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -298,15 +299,19 @@
 	b.end(j, work.Cancelled, now)
 }
 
-// Records returns progress to be written, the ends of jobs always and the rest
-// only if all is true, each at most once until it fails.
+// Records returns progress to be written, each at most once until it fails: the
+// ends of jobs first, and what has been waiting for a write beside them. Without
+// an end there is nothing to be written unless all is true.
 func (b *Board) Records(all bool, most int) []Record {
+	ids := slices.SortedFunc(maps.Keys(b.dirty), func(a, c string) int {
+		return cmp.Or(b.dirty[c].compareEnds(b.dirty[a]), cmp.Compare(a, c))
+	})
 	var out []Record
-	for _, id := range slices.Sorted(maps.Keys(b.dirty)) {
+	for _, id := range ids {
 		j := b.dirty[id]
 		urgent := j.progress.State.Final()
-		if len(out) == most || (!urgent && !all) {
-			continue
+		if len(out) == most || len(out) == 0 && !urgent && !all {
+			return out
 		}
 		j.sent = j.version
 		delete(b.dirty, id)
@@ -320,6 +325,17 @@
 	return out
 }
 
+// compareEnds orders jobs that have ended above those that have not.
+func (j *job) compareEnds(other *job) int {
+	switch {
+	case j.progress.State.Final() == other.progress.State.Final():
+		return 0
+	case j.progress.State.Final():
+		return 1
+	}
+	return -1
+}
+
 // Written tells that a record is in the store, or that it must be tried again.
 func (b *Board) Written(id string, version int64, ok bool) {
 	j := b.jobs[id]
