All runs are gone through ten times a second, not at each decision

Cause: with 3,400 runs half of a decision's time went into looking for stops to repeat and for tasks that stand still (0.98 of 1.38 s, by a profile of the leader with 350 stand-in workers). Change: both rounds are made every 100 ms. Ruled out: calls to workers (0.65 s for all looks of ten seconds).

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -40,6 +40,8 @@
 	token int64
 	// now is the time of the newest input.
 	now time.Time
+	// scanned is when all runs were last gone through.
+	scanned time.Time
 	// begun is when the leadership was taken.
 	begun time.Time
 	// runs counts starts under this token.
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -14,11 +14,14 @@
 func (b *Board) Decide(now time.Time, allowed bool) Effects {
 	b.now = now
 	b.Expire(now)
-	b.restop()
 	b.sendAgain()
 	b.roomLeft = b.bookedShare() < roomy
 	b.drain(now)
-	b.unstick(now)
+	if now.Sub(b.scanned) >= scanGap {
+		b.scanned = now
+		b.restop()
+		b.unstick(now)
+	}
 	b.dropReservations(now)
 	if allowed && !b.fenced {
 		b.place(now)
@@ -36,6 +39,10 @@
 	return out
 }
 
+// scanGap is the least time between two rounds through all runs: well below the
+// stop grace and the patience with tasks that stand still.
+const scanGap = 100 * time.Millisecond
+
 func compareKeys(a, c work.TaskKey) int {
 	return cmp.Or(cmp.Compare(a.Job, c.Job), cmp.Compare(a.Occurrence, c.Occurrence),
 		cmp.Compare(a.Step, c.Step), cmp.Compare(a.Index, c.Index))
