--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 TOOLS         := $(CURDIR)/bin/tools
 SCENARIO      ?=
 SEED          ?= 1
+SEEDS         ?= 1 2 3
+FAULTS        ?= 20s
 
 .PHONY: help
 help: ## list the targets
@@ -46,6 +48,10 @@
 $(TOOLS)/golangci-lint:
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
+.PHONY: soak
+soak: ## play fault soaks of the real program: SEEDS="1 2 3" FAULTS=20s
+	for seed in $(SEEDS); do CGO_ENABLED=1 $(GO) test -count=1 ./platform/soak -seed $$seed -faults $(FAULTS) || exit 1; done
+
 .PHONY: lint
 lint: $(TOOLS)/golangci-lint ## check formatting and style
 	$(TOOLS)/golangci-lint fmt --diff ./...
