--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -100,6 +100,9 @@
 	// watchWait is the same where fillers run beside serving tasks, whose
 	// figures are of the last half second.
 	watchWait = 500 * time.Millisecond
+	// mostWatches stretches it in large deployments: looks a second for their
+	// figures alone, a tenth of a core.
+	mostWatches = 300
 	// lookGap is the least time between two looks at a worker, so that ends
 	// which come together are heard together.
 	lookGap = 40 * time.Millisecond
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -71,6 +71,7 @@
 // look sends looks that are due.
 func (r *reign) look(now time.Time) {
 	r.keepRoster(now)
+	watch := min(lookWait, max(watchWait, time.Duration(len(r.links))*time.Second/mostWatches))
 	for id, one := range r.links {
 		if one.busy || now.Before(one.due) || !r.roster.holds(one.target) {
 			continue
@@ -78,7 +79,7 @@
 		seen, _ := r.leader.board.LastSeen(id)
 		wait := lookWait
 		if r.leader.board.Watched(id) {
-			wait = watchWait
+			wait = watch
 		}
 		if one.anew {
 			seen, wait = 0, 0
