--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -101,8 +101,8 @@
 	// figures are of the last half second.
 	watchWait = 500 * time.Millisecond
 	// mostWatches stretches it in large deployments: looks a second for their
-	// figures alone, a tenth of a core.
-	mostWatches = 300
+	// figures alone, about a tenth of a core.
+	mostWatches = 700
 	// lookGap is the least time between two looks at a worker, so that ends
 	// which come together are heard together.
 	lookGap = 40 * time.Millisecond
