--- a/internal/process/schedule/interference.go
+++ b/internal/process/schedule/interference.go
@@ -31,7 +31,7 @@
 	serving, filler string
 }
 
-// belief is a figure that is not known for certain.
+// belief is an estimate with its variance.
 type belief struct {
 	value, variance float64
 	// at is when the variance was last brought up to date.
@@ -53,9 +53,10 @@
 }
 
 const (
-	// firstPress is held of a pair that has not been seen: a filler of a tenth
-	// of the cores takes a fifth of a target. Its variance lets one clear
-	// sample of a bad pair raise it several times.
+	// firstPress, in headrooms for all cores, is assumed for a pair that has not
+	// been seen: between the two groups that one day of figures showed (1 and
+	// 8). Its variance lets one clear sample of a bad pair raise it several
+	// times.
 	firstPress         = 2.0
 	firstPressVariance = 16.0
 	// pressDrift is the variance that a press gains in a second: in a minute it
@@ -64,20 +65,21 @@
 	// swing is the standard deviation of a press about its mean, as a share of
 	// it: what a filler takes comes and goes within seconds.
 	swing = 0.6
-	// mostPress bounds a press: a filler of a tenth of the cores takes twice
-	// what a tail has at half load.
+	// mostPress bounds an estimate: three times the worst press that was seen.
 	mostPress = 40.0
-	// typicalOwn is held of an image before it has been seen.
+	// typicalOwn is assumed for an image that has not been seen: a tail of half
+	// its target.
 	typicalOwn = 2.0
 	// typicalRate is the weight of one sample in the running mean of own.
 	typicalRate = 0.02
-	// ownVariance is that of a first sample; ownDrift what it gains in a second:
-	// a load that swings by half in ten seconds.
+	// ownVariance is the variance of own headroom after a first sample, ownDrift
+	// what it gains in a second: a load that swings by half within ten seconds.
 	ownVariance = 0.5
 	ownDrift    = 0.4
-	// noiseBase and noiseShare give the standard deviation of a figure, as a
-	// constant and as a share of it; noiseLag that of a change of the fillers,
-	// which the two figures do not show at the very same time.
+	// noiseBase and noiseShare make up the standard deviation of a reported
+	// headroom, as a constant and as a share of it. noiseLag is the share of a
+	// change of the fillers that the tail may not show yet: the two figures lag
+	// by different times.
 	noiseBase  = 0.05
 	noiseShare = 0.08
 	noiseLag   = 0.3
@@ -107,7 +109,8 @@
 	return firstPress
 }
 
-// belief is what is held of a pair, to be improved.
+// belief returns the estimate of a pair, to be updated; it begins one for a pair
+// that has not been seen.
 func (f *interference) belief(serving, filler string, now time.Time) *belief {
 	key := pair{
 		serving: serving,
@@ -146,8 +149,8 @@
 type tail struct {
 	// headroom is by the newest figure, effect what fillers took of it then.
 	headroom, effect float64
-	// own is the headroom without fillers; its time is that of the first and
-	// then of the newest sample, zero without any.
+	// own is the headroom without fillers; its time is that of the newest
+	// sample, zero without any.
 	own belief
 }
 
