Listings are read page by page and continue after a failure

A listing was read as a whole within one call timeout, from its first page each time, so a slow link or some lost answers made it endless: no new job or cancellation was seen again. A new leader also read its state without renewing its lease, and lost it when that took over two seconds. Change: the store's client reads pages; a Reader keeps those that it has and goes on after them, each with a timeout of its own. The lease is renewed while a new leader reads. Ruled out: a longer timeout for the whole listing; it only moves the size at which the read never ends.

--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -137,15 +138,64 @@
 	if err != nil || result.resumed {
 		return result, err
 	}
-	for range 3 { // a page of a listing may be lost; the leadership is held meanwhile
-		limited, cancel := context.WithTimeout(ctx, leaseTTL)
-		err = a.load(limited, result)
+	keeper := &leaseKeeper{
+		store:   a.leader.config.Store,
+		clock:   a.leader.config.Clock,
+		lease:   result.lease,
+		renewed: result.sent,
+	}
+	held, release := context.WithCancel(ctx)
+	defer release()
+	go keeper.run(held, release)
+	err = a.load(held, result)
+	result.sent = keeper.lastRenewal()
+	return result, err
+}
+
+// leaseKeeper renews the lease of the lead key while a new leader reads its
+// state, which takes longer than the lease if there are many records or the
+// link to the store is slow.
+type leaseKeeper struct {
+	store store.Client
+	clock func() time.Time
+	lease int64
+
+	mu sync.Mutex
+	// renewed is when the newest successful renewal was sent.
+	renewed time.Time
+}
+
+func (k *leaseKeeper) lastRenewal() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.renewed
+}
+
+// run renews until the context ends. It calls lapsed if the lease has expired,
+// or may have.
+func (k *leaseKeeper) run(ctx context.Context, lapsed func()) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		sent := k.clock()
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		err := k.store.Renew(limited, k.lease)
 		cancel()
-		if err == nil {
-			return result, nil
+		switch {
+		case err == nil:
+			k.mu.Lock()
+			k.renewed = sent
+			k.mu.Unlock()
+		case errors.Is(err, store.ErrNoLease) || k.clock().Sub(k.lastRenewal()) > ActTerm:
+			lapsed()
+			return
 		}
 	}
-	return result, err
 }
 
 // writeLeadKey writes the lead key and the epoch under a new lease. Errors:
@@ -234,18 +284,18 @@
 		return fmt.Errorf("read key %s: %w", keyLearned, err)
 	}
 	result.learned = decodeLearned(learned.Value)
-	listing, err := client.List(ctx, prefixWork)
+	listing, err := a.readAll(ctx, prefixWork)
 	if err != nil {
-		return fmt.Errorf("list keys under %s: %w", prefixWork, err)
+		return err
 	}
 	result.revision = listing.Revision
 	result.jobs, result.cancels, result.createRevisions = nil, nil, map[string]int64{}
 	for _, item := range listing.Items {
 		result.addItem(item)
 	}
-	states, err := client.List(ctx, prefixState)
+	states, err := a.readAll(ctx, prefixState)
 	if err != nil {
-		return fmt.Errorf("list keys under %s: %w", prefixState, err)
+		return err
 	}
 	result.progress = make(map[string]*work.Progress, len(states.Items))
 	for _, item := range states.Items {
@@ -259,6 +309,23 @@
 	return nil
 }
 
+// readAll reads all keys under a prefix. A failed page is read again until the
+// context ends.
+func (a *acquisition) readAll(ctx context.Context, prefix string) (store.Listing, error) {
+	reader := store.NewReader(a.leader.config.Store, prefix)
+	for {
+		listing, err := reader.Read(ctx)
+		if err == nil {
+			return listing, nil
+		}
+		select {
+		case <-ctx.Done():
+			return listing, fmt.Errorf("list keys under %s: %w", prefix, err)
+		case <-time.After(pageRetryGap):
+		}
+	}
+}
+
 // addItem adds the job or cancellation that an item holds; other items are
 // ignored.
 func (r *acquisitionResult) addItem(item store.Item) {
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -104,6 +104,8 @@
 	leaseTTL      = 2 * time.Second
 	renewInterval = 500 * time.Millisecond
 	callTimeout   = 800 * time.Millisecond
+	// pageRetryGap is the pause after a page of a listing that could not be read.
+	pageRetryGap = 100 * time.Millisecond
 	// pollWait is how long a poll waits for a run to end. Workers' leases are
 	// renewed at least that often, and last three times as long.
 	pollWait = 1500 * time.Millisecond
--- a/internal/process/standin/memory.go
+++ b/internal/process/standin/memory.go
@@ -35,8 +35,12 @@
 	delayed      []store.Commit
 	// clock is the time that lease expiry is checked against.
 	clock func() time.Time
+	// pageSize is the most items of a page.
+	pageSize int
 }
 
+const defaultPageSize = 500
+
 // NewMemory returns an empty store whose leases expire by the clock.
 func NewMemory(clock func() time.Time) *Memory {
 	return &Memory{
@@ -47,6 +51,7 @@
 		changed:   make(chan struct{}),
 		fault:     func(string) error { return nil },
 		clock:     clock,
+		pageSize:  defaultPageSize,
 	}
 }
 
@@ -54,7 +59,7 @@
 func (m *Memory) Client() store.Client {
 	return store.Client{
 		Get:    m.get,
-		List:   m.list,
+		Page:   m.page,
 		Watch:  m.watch,
 		Commit: m.commit,
 		Grant:  m.grant,
@@ -156,23 +161,33 @@
 	return item, nil
 }
 
-func (m *Memory) list(_ context.Context, prefix string) (store.Listing, error) {
-	if err := m.injectedError("list"); err != nil {
-		return store.Listing{}, err
+// SetPageSize sets how many items a page holds.
+func (m *Memory) SetPageSize(items int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pageSize = items
+}
+
+func (m *Memory) page(_ context.Context, prefix, after string) (store.Page, error) {
+	if err := m.injectedError("page"); err != nil {
+		return store.Page{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireDue()
-	listing := store.Listing{
+	page := store.Page{
 		Revision: m.revision,
 	}
 	for key, item := range m.items {
-		if strings.HasPrefix(key, prefix) {
-			listing.Items = append(listing.Items, item)
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Items = append(page.Items, item)
 		}
 	}
-	sort.Slice(listing.Items, func(a, b int) bool { return listing.Items[a].Key < listing.Items[b].Key })
-	return listing, nil
+	sort.Slice(page.Items, func(a, b int) bool { return page.Items[a].Key < page.Items[b].Key })
+	if len(page.Items) > m.pageSize {
+		page.Items, page.More = page.Items[:m.pageSize], true
+	}
+	return page, nil
 }
 
 func (m *Memory) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -99,8 +99,9 @@
 type Client struct {
 	// Get reads one key. ErrAbsent if it does not exist.
 	Get func(ctx context.Context, key string) (Item, error)
-	// List reads all keys with the prefix.
-	List func(ctx context.Context, prefix string) (Listing, error)
+	// Page reads the first keys with the prefix that follow after a key; empty
+	// for the first page. A Reader reads all of them.
+	Page func(ctx context.Context, prefix, after string) (Page, error)
 	// Watch waits up to the given time for changes after a revision.
 	// ErrCompacted if the store no longer has them.
 	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
--- a/internal/process/store/watcher.go
+++ b/internal/process/store/watcher.go
@@ -33,8 +33,7 @@
 	Wait time.Duration
 	// Gap is the pause between calls; it lets changes arrive in batches.
 	Gap time.Duration
-	// Timeout bounds a call that lists the keys, and a call that waits for
-	// changes beyond Wait.
+	// Timeout bounds a call that waits for changes beyond Wait.
 	Timeout time.Duration
 	Clock   func() time.Time
 	// OnView is called with each view in order, from the watcher's goroutine.
@@ -47,6 +46,8 @@
 	revision int64
 	// listed is false until all keys have been read and after a compaction.
 	listed bool
+	// reader holds the keys read so far while listed is false.
+	reader *Reader
 }
 
 // NewWatcher returns a watcher that begins by reading all keys.
@@ -117,13 +118,14 @@
 func (w *Watcher) poll(ctx context.Context) error {
 	sentAt := w.config.Clock()
 	if !w.listed {
-		callCtx, cancel := context.WithTimeout(ctx, w.config.Timeout)
-		defer cancel()
-		listing, err := w.config.Client.List(callCtx, w.config.Prefix)
+		if w.reader == nil {
+			w.reader = NewReader(w.config.Client, w.config.Prefix)
+		}
+		listing, err := w.reader.Read(ctx)
 		if err != nil {
 			return err
 		}
-		w.listed, w.revision = true, listing.Revision
+		w.listed, w.revision, w.reader = true, listing.Revision, nil
 		w.config.OnView(View{
 			Snapshot: true,
 			Items:    listing.Items,
