Shards: a large fleet has several leaders

Change: above 400 workers the fleet is divided into shards of 160 workers, whole racks dealt out over all zones, each with its own lead key, token, roster, records and leader. The layout is made once and stored; a small fleet, and one with records of a single leader, stays whole under the same keys. Hosts ask the leader of the job's shard and sum the pending counts. A host that follows needs no timer, and greets a new leader so that the answer to its first question is not lost. Ended jobs are deleted until none is left (7 in 5 s before). Chance gives some shards more long-running work than they hold; a long-running task that fails there is not restarted for 26 s although other shards have room. Tests: layout, group, keys and homes of jobs, lease kept during a long read. Ruled out: a shard for each zone (docs/DESIGN.md).

--- a/internal/connection/inquiry/inquiry.go
+++ b/internal/connection/inquiry/inquiry.go
@@ -1,11 +1,12 @@
-// Package inquiry sends questions about jobs from each host to the leader, and
-// the answers back, over the links between hosts. Only the leader and a host
-// that asks it are linked, with one link in each direction.
+// Package inquiry sends questions about jobs from each host to the leader of a
+// shard, and the answers back, over the links between hosts. Only a leader and a
+// host that asks it are linked, with one link in each direction.
 package inquiry
 
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 // Config sets up a Client.
 type Config struct {
 	Host string
+	// Shards is the number of shards, each with its own leader.
+	Shards int
 	// Hub holds the links to other hosts; Inbox receives their messages.
 	Hub   *peer.Hub
 	Inbox <-chan peer.Event
@@ -38,8 +41,9 @@
 type Client struct {
 	config Config
 
-	mu     sync.Mutex
-	leader leader.Member
+	mu sync.Mutex
+	// leaders holds the leader of each shard, the zero Member if there is none.
+	leaders []leader.Member
 	// number is that of the newest question.
 	number uint64
 	// pending are the questions that wait for an answer, by number.
@@ -51,17 +55,19 @@
 func New(config Config) *Client {
 	return &Client{
 		config:  config,
+		leaders: make([]leader.Member, config.Shards),
 		pending: map[uint64]chan leader.Answer{},
 	}
 }
 
-// SetLeader sets the host to ask; the zero Member if there is none.
-func (c *Client) SetLeader(member leader.Member) {
+// SetLeader sets the host to ask about a shard; the zero Member if there is none.
+func (c *Client) SetLeader(number int, member leader.Member) {
 	c.mu.Lock()
-	previous := c.leader
-	c.leader = member
+	previous := c.leaders[number]
+	c.leaders[number] = member
+	leadsAnother := slices.ContainsFunc(c.leaders, func(each leader.Member) bool { return each.Peers == previous.Peers })
 	c.mu.Unlock()
-	if previous.Peers != member.Peers && previous.Peers.IsValid() && previous.Host != c.config.Host {
+	if !leadsAnother && previous.Peers.IsValid() && previous.Host != c.config.Host {
 		c.config.Hub.Forget(previous.Peers)
 	}
 	if member.Host != "" && member.Host != c.config.Host {
@@ -72,7 +78,7 @@
 // Ask returns the leader's answer; Known is false if none arrives in time.
 func (c *Client) Ask(ctx context.Context, question leader.Question) leader.Answer {
 	c.mu.Lock()
-	target := c.leader
+	target := c.leaders[question.Shard]
 	c.number++
 	number := c.number
 	result := make(chan leader.Answer, 1)
@@ -89,6 +95,7 @@
 			Number: number,
 			Job:    question.Job,
 			Queue:  question.Queue,
+			Shard:  question.Shard,
 		})
 		if err != nil {
 			return leader.Answer{}
@@ -100,7 +107,7 @@
 	case answer := <-result:
 		return answer
 	case <-timer.C:
-		klog.InfoS("leader did not answer", "host", target.Host, "job", question.Job, "queue", question.Queue)
+		klog.InfoS("leader did not answer", "shard", question.Shard, "host", target.Host, "job", question.Job, "queue", question.Queue)
 	case <-ctx.Done():
 	}
 	return leader.Answer{}
@@ -125,6 +132,10 @@
 }
 
 func (c *Client) handle(event peer.Event) {
+	if event.Up {
+		c.greet(event.From.Host)
+		return
+	}
 	switch event.Envelope.Kind {
 	case message.KindQuestion:
 		question, err := message.Open[message.Question](event.Envelope)
@@ -143,12 +154,24 @@
 	}
 }
 
+// greet sends a question that asks nothing over a new link, so that the leader
+// links back before the first question, whose answer would otherwise be lost.
+func (c *Client) greet(host string) {
+	if err := c.config.Hub.Send(host, message.KindQuestion, message.Question{}); err != nil {
+		klog.InfoS("leader not greeted", "host", host, "err", err)
+	}
+}
+
 // answer links back to the host that asks, and sends it the answer.
 func (c *Client) answer(host string, address netip.AddrPort, question message.Question) {
 	c.config.Hub.Ensure(address)
+	if question.Job == "" && question.Queue == "" {
+		return
+	}
 	c.config.Answer(leader.Question{
 		Job:   question.Job,
 		Queue: question.Queue,
+		Shard: question.Shard,
 	}, func(answer leader.Answer) {
 		err := c.config.Hub.Send(host, message.KindAnswer, message.Answer{
 			Number:  question.Number,
--- a/internal/connection/message/message.go
+++ b/internal/connection/message/message.go
@@ -196,6 +196,8 @@
 	Number uint64 `cbor:"1,keyasint"`
 	Job    string `cbor:"2,keyasint,omitempty"`
 	Queue  string `cbor:"3,keyasint,omitempty"`
+	// Shard is the shard that is asked.
+	Shard int `cbor:"4,keyasint,omitempty"`
 }
 
 // Answer is the leader's answer to a Question.
--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -23,7 +23,7 @@
 	if view.Snapshot {
 		lead := store.Item{}
 		for _, item := range view.Items {
-			if item.Key == keyLead {
+			if item.Key == l.config.Keys.Lead {
 				lead = item
 			}
 		}
@@ -33,7 +33,7 @@
 		return
 	}
 	for _, event := range view.Events {
-		if event.Key != keyLead {
+		if event.Key != l.config.Keys.Lead {
 			continue
 		}
 		if event.Removed {
@@ -55,7 +55,7 @@
 		l.term.observeLeadKey(l.currentLeader, revision, now)
 	}
 	l.config.LeaderChanged(l.currentLeader)
-	klog.InfoS("leader changed", "host", l.currentLeader.Host, "token", revision)
+	klog.InfoS("leader changed", "shard", l.config.Shard, "host", l.currentLeader.Host, "token", revision)
 }
 
 // compete tries to acquire the leadership when nobody holds it, or when an
@@ -69,11 +69,15 @@
 			return
 		}
 	}
-	formerIncarnation := l.currentLeader.Host == l.config.Self.Host && l.currentLeader.Incarnation != l.config.Self.Incarnation
-	unoccupied := l.leadKeyRevision == 0 && !l.acquireAt.IsZero() && !now.Before(l.acquireAt)
+	formerIncarnation := l.formerIncarnationLeads()
+	others := l.otherDuties()
+	unoccupied := l.leadKeyRevision == 0 && !l.acquireAt.IsZero() && !now.Before(l.acquireDue())
 	if l.acquiring || l.stopping || l.catalog.Version == 0 || (!unoccupied && !formerIncarnation) {
 		return
 	}
+	if !l.reserveDuty(others) {
+		return // the delay has changed
+	}
 	l.acquiring = true
 	attempt := &acquisition{
 		leader:  l,
@@ -85,10 +89,17 @@
 	go attempt.run(ctx)
 }
 
+// formerIncarnationLeads reports whether the lead key names an earlier process
+// of this host, which no longer exists.
+func (l *Leader) formerIncarnationLeads() bool {
+	return l.currentLeader.Host == l.config.Self.Host && l.currentLeader.Incarnation != l.config.Self.Incarnation
+}
+
 // stepDown ends the term and drops its state.
 func (l *Leader) stepDown(reason string) {
+	l.dropDuty()
 	l.config.Counts.Add("leadership_lost", 1)
-	klog.InfoS("leadership lost", "token", l.term.token, "reason", reason)
+	klog.InfoS("leadership lost", "shard", l.config.Shard, "token", l.term.token, "reason", reason)
 	l.term.end()
 	l.term, l.board = nil, nil
 	l.leading.Store(false)
@@ -204,13 +215,14 @@
 	limited, cancel := context.WithTimeout(ctx, leaseTTL)
 	defer cancel()
 	client := a.leader.config.Store
-	epoch, err := client.Get(limited, keyEpoch)
+	keys := &a.leader.config.Keys
+	epoch, err := client.Get(limited, keys.Epoch)
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
-		return nil, fmt.Errorf("read key %s: %w", keyEpoch, err)
+		return nil, fmt.Errorf("read key %s: %w", keys.Epoch, err)
 	}
 	lease, err := client.Grant(limited, leaseTTL)
 	if err != nil {
-		return nil, fmt.Errorf("grant a lease for key %s: %w", keyLead, err)
+		return nil, fmt.Errorf("grant a lease for key %s: %w", keys.Lead, err)
 	}
 	value, err := cbor.Marshal(a.leader.config.Self)
 	if err != nil {
@@ -224,22 +236,22 @@
 	result.token, err = client.Commit(limited, store.Commit{
 		If: []store.Condition{
 			{
-				Key:      keyLead,
+				Key:      keys.Lead,
 				Revision: a.replace,
 			},
 			{
-				Key:      keyEpoch,
+				Key:      keys.Epoch,
 				Revision: epoch.Revision,
 			},
 		},
 		Set: []store.Write{
 			{
-				Key:   keyLead,
+				Key:   keys.Lead,
 				Value: value,
 				Lease: lease,
 			},
 			{
-				Key:   keyEpoch,
+				Key:   keys.Epoch,
 				Value: value,
 			},
 		},
@@ -256,7 +268,7 @@
 func (a *acquisition) readBack(ctx context.Context, result *acquisitionResult, unknown error) (*acquisitionResult, error) {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	item, err := a.leader.config.Store.Get(limited, keyLead)
+	item, err := a.leader.config.Store.Get(limited, a.leader.config.Keys.Lead)
 	if err != nil || item.Lease != result.lease {
 		return nil, unknown
 	}
@@ -266,34 +278,34 @@
 
 // load reads the roster, the learned state, the jobs and their progress.
 func (a *acquisition) load(ctx context.Context, result *acquisitionResult) error {
-	client := a.leader.config.Store
-	roster, err := client.Get(ctx, keyRoster)
+	client, keys := a.leader.config.Store, &a.leader.config.Keys
+	roster, err := client.Get(ctx, keys.Roster)
 	if err == nil {
 		err = cbor.Unmarshal(roster.Value, &result.roster)
 	}
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
-		return fmt.Errorf("read key %s: %w", keyRoster, err)
+		return fmt.Errorf("read key %s: %w", keys.Roster, err)
 	}
-	sequence, err := client.Get(ctx, keySequence)
+	sequence, err := client.Get(ctx, keys.Sequence)
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
-		return fmt.Errorf("read key %s: %w", keySequence, err)
+		return fmt.Errorf("read key %s: %w", keys.Sequence, err)
 	}
 	result.sequence = sequence.Revision
-	learned, err := client.Get(ctx, keyLearned)
+	learned, err := client.Get(ctx, keys.Learned)
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
-		return fmt.Errorf("read key %s: %w", keyLearned, err)
+		return fmt.Errorf("read key %s: %w", keys.Learned, err)
 	}
 	result.learned = decodeLearned(learned.Value)
-	listing, err := a.readAll(ctx, prefixWork)
+	listing, err := a.readAll(ctx, keys.work)
 	if err != nil {
 		return err
 	}
 	result.revision = listing.Revision
 	result.jobs, result.cancels, result.createRevisions = nil, nil, map[string]int64{}
 	for _, item := range listing.Items {
-		result.addItem(item)
+		result.addItem(keys, item)
 	}
-	states, err := a.readAll(ctx, prefixState)
+	states, err := a.readAll(ctx, keys.state)
 	if err != nil {
 		return err
 	}
@@ -304,7 +316,7 @@
 			klog.ErrorS(err, "progress record cannot be read", "key", item.Key, "revision", item.Revision)
 			continue
 		}
-		result.progress[item.Key[len(prefixState):]] = progress
+		result.progress[item.Key[len(keys.state):]] = progress
 	}
 	return nil
 }
@@ -328,8 +340,8 @@
 
 // addItem adds the job or cancellation that an item holds; other items are
 // ignored.
-func (r *acquisitionResult) addItem(item store.Item) {
-	job, cancelled := decodeItem(item)
+func (r *acquisitionResult) addItem(keys *Keys, item store.Item) {
+	job, cancelled := keys.decodeItem(item)
 	switch {
 	case cancelled != "":
 		r.cancels = append(r.cancels, cancelled)
@@ -344,7 +356,10 @@
 func (l *Leader) finishAcquisition(ctx context.Context, result *acquisitionResult, err error, now time.Time) {
 	l.acquiring = false
 	if err != nil {
-		klog.InfoS("leadership not taken", "err", err)
+		if l.term == nil {
+			l.dropDuty()
+		}
+		klog.InfoS("leadership not taken", "shard", l.config.Shard, "err", err)
 		l.acquireAt = now.Add(l.config.AcquireDelay + renewInterval/2)
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) && l.term != nil && l.term.unoccupied {
@@ -353,7 +368,7 @@
 		return
 	}
 	l.config.Counts.Add("leadership_taken", 1)
-	klog.InfoS("leadership taken", "token", result.token, "resumed", result.resumed, "jobs", len(result.jobs))
+	klog.InfoS("leadership taken", "shard", l.config.Shard, "token", result.token, "resumed", result.resumed, "jobs", len(result.jobs))
 	if result.resumed && l.term != nil {
 		l.term.resume(result)
 		l.board.Begin(result.token, now)
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -75,12 +75,18 @@
 type Config struct {
 	Self  Member
 	Store store.Client
-	Calls Calls
-	Board schedule.Config
+	// Shard is the number of the shard to lead, Keys are its keys.
+	Shard int
+	Keys  Keys
+	// Duties counts the shards that this host leads.
+	Duties *Duties
+	Calls  Calls
+	Board  schedule.Config
 	// WorkersPrefix is the key prefix of the list of workers; Worker decodes an
-	// entry of it.
+	// entry of it. Owns reports whether a worker belongs to the shard.
 	WorkersPrefix string
 	Worker        func(item store.Item) (schedule.Listing, error)
+	Owns          func(listing schedule.Listing) bool
 	// AcquireDelay delays an attempt to acquire the leadership, so that the hosts
 	// with the most processor time try first.
 	AcquireDelay time.Duration
@@ -156,8 +162,10 @@
 	maxAdviseCalls = 8
 	// summaryInterval is how often the state of the schedule is logged.
 	summaryInterval = time.Second
-	// tick is the maximum time between two decisions.
-	tick = 100 * time.Millisecond
+	// tick is the maximum time between two decisions. followTick replaces it on
+	// a host that does not lead, where it covers only a missed event.
+	tick       = 100 * time.Millisecond
+	followTick = 2 * time.Second
 	// decideGap is the minimum time between two decisions, and between two
 	// rounds of polls: both go through all workers.
 	decideGap = 15 * time.Millisecond
@@ -176,19 +184,3 @@
 // for every worker that it cannot reach, that the former leader acted this
 // long.
 const ActTerm = 3 * time.Second
-
-// Keys in the store.
-const (
-	prefixWork   = "mustardreach/work/"
-	keyLead      = prefixWork + "lead"
-	prefixJob    = prefixWork + "job/"
-	prefixCancel = prefixWork + "cancel/"
-	prefixState  = "mustardreach/state/"
-	// keyEpoch is written by every acquisition and never deleted.
-	keyEpoch  = "mustardreach/epoch"
-	keyRoster = "mustardreach/roster"
-	// keyLearned holds the learned state of the schedule.
-	keyLearned = "mustardreach/learned"
-	// keySequence is written by every commit of a leader.
-	keySequence = "mustardreach/sequence"
-)
--- a/internal/process/leader/keys.go
+++ b/internal/process/leader/keys.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"strconv"
 	"strings"
 
 	"k8s.io/klog/v2"
@@ -9,29 +10,92 @@
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
-// JobKey returns the key of a job's record.
-func JobKey(id string) string {
-	return prefixJob + id
+const (
+	prefixRoot = "mustardreach/"
+	// prefixLeads holds the lead keys of all shards of a divided fleet.
+	prefixLeads = prefixRoot + "lead/"
+	// prefixMoved holds the shard of each job that is not in the shard that the
+	// layout names for it.
+	prefixMoved = prefixRoot + "moved/"
+)
+
+// Keys are the store keys of one shard.
+type Keys struct {
+	// Lead is held under a lease by the shard's leader.
+	Lead string
+	// Epoch is written by every acquisition and never deleted.
+	Epoch string
+	// Sequence is written by every commit of a leader, Roster before a worker
+	// is used, and Learned holds the learned state of the schedule.
+	Sequence, Roster, Learned string
+	// work is the prefix of all that a leader watches: jobs, cancellations and
+	// one of Lead and Epoch, so that the end of a term is seen before any job
+	// that was submitted after it.
+	work, state string
+}
+
+// KeysOf returns the keys of a shard. A fleet of one shard has keys without a
+// number.
+func KeysOf(number, shards int) Keys {
+	if shards <= 1 {
+		return Keys{
+			Lead:     prefixRoot + "work/lead",
+			Epoch:    prefixRoot + "epoch",
+			Sequence: prefixRoot + "sequence",
+			Roster:   prefixRoot + "roster",
+			Learned:  prefixRoot + "learned",
+			work:     prefixRoot + "work/",
+			state:    prefixRoot + "state/",
+		}
+	}
+	root := prefixRoot + "shard/" + strconv.Itoa(number) + "/"
+	return Keys{
+		Lead:     prefixLeads + strconv.Itoa(number),
+		Epoch:    root + "work/epoch",
+		Sequence: root + "sequence",
+		Roster:   root + "roster",
+		Learned:  root + "learned",
+		work:     root + "work/",
+		state:    root + "state/",
+	}
+}
+
+// leadsPrefix returns the prefix of the lead keys of all shards.
+func leadsPrefix(shards int) string {
+	if shards <= 1 {
+		return KeysOf(0, shards).Lead
+	}
+	return prefixLeads
+}
+
+// Job returns the key of a job's record.
+func (k Keys) Job(id string) string {
+	return k.work + "job/" + id
+}
+
+// State returns the key of a job's progress record.
+func (k Keys) State(id string) string {
+	return k.state + id
 }
 
-// StateKey returns the key of a job's progress record.
-func StateKey(id string) string {
-	return prefixState + id
+// Cancel returns the key of a job's cancellation.
+func (k Keys) Cancel(id string) string {
+	return k.work + "cancel/" + id
 }
 
-// CancelKey returns the key of a job's cancellation.
-func CancelKey(id string) string {
-	return prefixCancel + id
+// MovedKey returns the key that holds the shard of a job which has moved.
+func MovedKey(id string) string {
+	return prefixMoved + id
 }
 
-// decodeItem decodes an item under prefixWork: it returns a job, the id of a
-// cancelled job, or neither. A job record that cannot be decoded is logged and
+// decodeItem decodes an item under the work prefix: it returns a job, the id of
+// a cancelled job, or neither. A job record that cannot be decoded is logged and
 // ignored.
-func decodeItem(item store.Item) (job *work.Job, cancelled string) {
-	if id, ok := strings.CutPrefix(item.Key, prefixCancel); ok {
+func (k Keys) decodeItem(item store.Item) (job *work.Job, cancelled string) {
+	if id, ok := strings.CutPrefix(item.Key, k.Cancel("")); ok {
 		return nil, id
 	}
-	if !strings.HasPrefix(item.Key, prefixJob) {
+	if !strings.HasPrefix(item.Key, k.Job("")) {
 		return nil, ""
 	}
 	job, err := work.DecodeJob(item.Value)
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -36,6 +36,8 @@
 	evacuatedZones map[string]bool
 	decidedAt      time.Time
 	stopping       bool
+	// onDuty is set while the shard is counted in Duties.
+	onDuty bool
 
 	// leading is also read by other goroutines.
 	leading atomic.Bool
@@ -79,19 +81,8 @@
 
 // Run runs the loop until the context ends.
 func (l *Leader) Run(ctx context.Context) {
-	watcher := store.NewWatcher(store.WatcherConfig{
-		Client:  l.config.Store,
-		Prefix:  keyLead,
-		Wait:    leadWatchWait,
-		Timeout: callTimeout,
-		Clock:   l.config.Clock,
-		OnView: func(view store.View) {
-			l.post(func(now time.Time) { l.observeLeadKey(view, now) })
-		},
-	})
-	go watcher.Run(ctx)
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -99,10 +90,28 @@
 		case event := <-l.events:
 			event(l.config.Clock())
 			l.drainEvents()
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		l.step(ctx)
+		timer.Reset(l.maxIdle(l.config.Clock()))
+	}
+}
+
+// maxIdle is how long the loop may wait for an event. A host that neither leads
+// nor is about to needs no timer: it hears of a free leadership by an event. An
+// attempt to acquire one is made on time, so that the order of the hosts'
+// delays is kept.
+func (l *Leader) maxIdle(now time.Time) time.Duration {
+	const minIdle = time.Millisecond
+	switch {
+	case l.term == nil && l.leadKeyRevision != 0 && !l.formerIncarnationLeads():
+		return followTick
+	case l.term == nil && !l.acquiring && !l.acquireAt.IsZero():
+		if due := l.acquireDue().Sub(now); due > 0 {
+			return max(minIdle, min(tick, due))
+		}
 	}
+	return tick
 }
 
 // drainEvents handles the events that are already queued, so that one decision
@@ -146,6 +155,8 @@
 	// Job asks for the state of a job, Queue for the number of a queue's jobs
 	// that have not started. One of them is set.
 	Job, Queue string
+	// Shard is the shard that is asked.
+	Shard int
 }
 
 // Answer is the reply to a Question. Known is false if this host does not lead
@@ -156,7 +167,7 @@
 	Pending int
 }
 
-// Ask answers a question if this host leads. It calls reply once, with the zero
+// Ask answers a question if this host leads the shard. It calls reply once, with the zero
 // Answer if this host does not lead. Once Run has returned, a reply may never
 // come.
 func (l *Leader) Ask(question Question, reply func(answer Answer)) {
@@ -198,6 +209,7 @@
 		l.stepDown("resigned")
 		resignation := &resignation{
 			store:    l.config.Store,
+			key:      l.config.Keys.Lead,
 			revision: revision,
 			done:     done,
 		}
@@ -211,7 +223,9 @@
 
 // resignation removes the lead key in the background.
 type resignation struct {
-	store    store.Client
+	store store.Client
+	// key is the lead key and revision its revision in the term that ends.
+	key      string
 	revision int64
 	done     chan struct{}
 }
@@ -223,11 +237,11 @@
 	_, err := r.store.Commit(limited, store.Commit{
 		If: []store.Condition{
 			{
-				Key:      keyLead,
+				Key:      r.key,
 				Revision: r.revision,
 			},
 		},
-		Delete: []string{keyLead},
+		Delete: []string{r.key},
 	})
 	klog.InfoS("leadership resigned", "token", r.revision, "err", err)
 }
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -14,22 +15,29 @@
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
 	"mustardreach.example/mustardreach/internal/process/schedule"
+	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/process/standin"
 	"mustardreach.example/mustardreach/internal/process/store"
 	"mustardreach.example/mustardreach/internal/request/work"
 	"mustardreach.example/mustardreach/internal/version/catalog"
 )
 
+// soloKeys are the keys of a fleet of one shard.
+var soloKeys = KeysOf(0, 1)
+
 // waitTimeout is how long a test waits for an expected event.
 const waitTimeout = 10 * time.Second
 
 // fakeWorkers answers the calls to all workers. Every run ends at once as done.
 type fakeWorkers struct {
-	mu     sync.Mutex
-	token  int64
+	mu sync.Mutex
+	// tokens holds the highest token that each worker has seen.
+	tokens map[string]int64
 	number int64
 	ended  map[string][]schedule.EndedTask
 	starts map[work.TaskKey]int
+	// startedAt holds the workers of the starts.
+	startedAt map[work.TaskKey]string
 	// forgotten counts the run ends that were acknowledged.
 	forgotten int
 	// polledAt is when the last poll came, leasedAt when the last one that
@@ -39,8 +47,11 @@
 
 func newFakeWorkers() *fakeWorkers {
 	return &fakeWorkers{
+		tokens: map[string]int64{},
 		ended:  map[string][]schedule.EndedTask{},
 		starts: map[work.TaskKey]int{},
+
+		startedAt: map[work.TaskKey]string{},
 	}
 }
 
@@ -60,10 +71,10 @@
 func (f *fakeWorkers) poll(_ context.Context, target Target, poll Poll) (schedule.Inventory, time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if poll.Token < f.token {
+	if poll.Token < f.tokens[target.ID] {
 		return schedule.Inventory{}, 0, ErrFenced
 	}
-	f.token = poll.Token
+	f.tokens[target.ID] = poll.Token
 	f.polledAt = time.Now()
 	if poll.Until > 0 {
 		f.leasedAt = f.polledAt
@@ -86,10 +97,11 @@
 func (f *fakeWorkers) start(_ context.Context, target Target, lease Lease, start schedule.Start) (schedule.Verdict, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if lease.Token < f.token {
+	if lease.Token < f.tokens[target.ID] {
 		return schedule.Fenced, time.Second
 	}
 	f.starts[start.Key]++
+	f.startedAt[start.Key] = target.ID
 	f.number++
 	f.ended[target.ID] = append(f.ended[target.ID], schedule.EndedTask{
 		Number: f.number,
@@ -119,11 +131,12 @@
 		store:   standin.NewMemory(time.Now),
 		workers: newFakeWorkers(),
 	}
-	for _, id := range []string{"w0", "w1"} {
+	for index, id := range []string{"w0", "w1"} {
 		value, err := cbor.Marshal(schedule.Listing{
 			ID:      id,
 			Address: netip.MustParseAddrPort("127.0.0.1:1"),
 			Zone:    "recife",
+			Rack:    fmt.Sprintf("r%d", index),
 			Service: "workshop",
 			Capacity: worker.Size{
 				MilliCores: 4000,
@@ -148,6 +161,11 @@
 }
 
 func (s *site) submit(id string) {
+	s.submitTo(soloKeys, id)
+}
+
+// submitTo submits a job to the shard with the keys.
+func (s *site) submitTo(keys Keys, id string) {
 	value, err := work.EncodeJob(&work.Job{
 		ID:      id,
 		Queue:   "quotes",
@@ -167,14 +185,41 @@
 		Accepted: time.Now(),
 	})
 	require.NoError(s.t, err)
-	s.put(JobKey(id), value)
+	s.put(keys.Job(id), value)
 }
 
 // startLeader starts a leader that runs until the returned function is called.
 func (s *site) startLeader(host string) (*Leader, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.t.Cleanup(cancel)
-	l := New(Config{
+	group := s.startGroup(ctx, host, shard.Solo())
+	return group.leaders[0], cancel
+}
+
+// startGroup starts a host of a fleet with the layout.
+func (s *site) startGroup(ctx context.Context, host string, layout shard.Layout) *Group {
+	group := NewGroup(GroupConfig{
+		Leader:        s.leaderConfig(host),
+		Layout:        layout,
+		LeaderChanged: func(int, Member) {},
+	})
+	go group.Run(ctx)
+	group.SetCatalog(&catalog.Catalog{
+		Version: 1,
+		Queues: map[string]catalog.Queue{
+			"quotes": {
+				Name:        "quotes",
+				Service:     "workshop",
+				MaxAttempts: 3,
+				Stretch:     2,
+			},
+		},
+	})
+	return group
+}
+
+func (s *site) leaderConfig(host string) Config {
+	return Config{
 		Self: Member{
 			Host:        host,
 			Incarnation: host,
@@ -197,21 +242,7 @@
 		TimeOfDay:      time.Now,
 		Counts:         new(expvar.Map).Init(),
 		RecordDuration: func(string, time.Duration) {},
-		LeaderChanged:  func(Member) {},
-	})
-	go l.Run(ctx)
-	l.SetCatalog(&catalog.Catalog{
-		Version: 1,
-		Queues: map[string]catalog.Queue{
-			"quotes": {
-				Name:        "quotes",
-				Service:     "workshop",
-				MaxAttempts: 3,
-				Stretch:     2,
-			},
-		},
-	})
-	return l, cancel
+	}
 }
 
 // state returns the leader's answer about a job.
@@ -239,7 +270,7 @@
 	leading, _ := s.startLeader("recife-1")
 	s.submit("a")
 	s.waitCompleted(leading, "a")
-	item, err := s.store.Client().Get(context.Background(), StateKey("a"))
+	item, err := s.store.Client().Get(context.Background(), soloKeys.State("a"))
 	require.NoError(t, err)
 	progress, err := work.DecodeProgress(item.Value)
 	require.NoError(t, err)
@@ -308,7 +339,7 @@
 	_, _ = s.store.Client().Commit(context.Background(), store.Commit{
 		Set: []store.Write{
 			{
-				Key:   JobKey("b"),
+				Key:   soloKeys.Job("b"),
 				Value: value,
 			},
 		},
@@ -322,10 +353,10 @@
 	time.Sleep(3 * progressBatchDelay) // commits of progress are held back meanwhile
 	s.store.SetFault(func(string) error { return nil }, false)
 	s.waitCompleted(leading, "b")
-	before, err := s.store.Client().Get(context.Background(), StateKey("b"))
+	before, err := s.store.Client().Get(context.Background(), soloKeys.State("b"))
 	require.NoError(t, err)
 	s.store.ApplyDelayed()
-	after, err := s.store.Client().Get(context.Background(), StateKey("b"))
+	after, err := s.store.Client().Get(context.Background(), soloKeys.State("b"))
 	require.NoError(t, err)
 	assert.Equal(t, before.Revision, after.Revision, "a late commit took effect after a newer one")
 }
@@ -354,7 +385,9 @@
 	s.waitCompleted(leading, "a")
 	s.store.SetFault(func(string) error { return store.ErrUnavailable }, false)
 	s.workers.mu.Lock()
-	s.workers.token++ // as a poll of another leader does
+	for id := range s.workers.tokens {
+		s.workers.tokens[id]++ // as a poll of another leader does
+	}
 	s.workers.mu.Unlock()
 	require.Eventually(t, func() bool { return !state(leading, "a").Known }, ActTerm/2, 10*time.Millisecond)
 }
@@ -397,13 +430,13 @@
 	}
 	value, err := cbor.Marshal(known)
 	require.NoError(t, err)
-	s.put(keyLearned, value)
+	s.put(soloKeys.Learned, value)
 	first, stop := s.startLeader("recife-1")
 	s.submit("a")
 	s.waitCompleted(first, "a")
 	written := schedule.Learned{}
 	require.Eventually(t, func() bool {
-		item, err := s.store.Client().Get(context.Background(), keyLearned)
+		item, err := s.store.Client().Get(context.Background(), soloKeys.Learned)
 		return err == nil && cbor.Unmarshal(item.Value, &written) == nil && len(written.Work) > 0
 	}, waitTimeout, 10*time.Millisecond)
 	assert.Equal(t, known.Coefficients, written.Coefficients)
--- a/internal/process/leader/learned.go
+++ b/internal/process/leader/learned.go
@@ -33,7 +33,7 @@
 		commit: store.Commit{
 			Set: []store.Write{
 				{
-					Key:   keyLearned,
+					Key:   t.keys().Learned,
 					Value: value,
 				},
 			},
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -49,16 +49,16 @@
 	w.waiting = w.waiting[1:]
 	pending.commit.If = []store.Condition{
 		{
-			Key:      keyLead,
+			Key:      w.term.keys().Lead,
 			Revision: w.term.token,
 		},
 		{
-			Key:      keySequence,
+			Key:      w.term.keys().Sequence,
 			Revision: w.sequence,
 		},
 	}
 	pending.commit.Set = append(pending.commit.Set, store.Write{
-		Key: keySequence,
+		Key: w.term.keys().Sequence,
 	})
 	go pending.run(w.term.ctx)
 }
@@ -100,9 +100,9 @@
 	var lead, sequence int64
 	for _, item := range conflict.Items {
 		switch item.Key {
-		case keyLead:
+		case t.keys().Lead:
 			lead = item.Revision
-		case keySequence:
+		case t.keys().Sequence:
 			sequence = item.Revision
 		}
 	}
@@ -135,7 +135,7 @@
 			continue
 		}
 		commit.Set = append(commit.Set, store.Write{
-			Key:   prefixState + records[i].Job,
+			Key:   t.keys().State(records[i].Job),
 			Value: value,
 		})
 	}
@@ -165,19 +165,23 @@
 		return
 	}
 	t.jobsDeletedAt = now
-	const maxJobs = (store.MaxEntries - guardEntries) / 3 // three keys a job
+	const keysPerJob = 4
+	const maxJobs = (store.MaxEntries - guardEntries) / keysPerJob
 	ids := t.leader.board.Forget(now, maxJobs)
 	if len(ids) == 0 {
 		return
 	}
 	commit := store.Commit{}
 	for _, id := range ids {
-		commit.Delete = append(commit.Delete, prefixJob+id, prefixCancel+id, prefixState+id)
+		commit.Delete = append(commit.Delete, t.keys().Job(id), t.keys().Cancel(id), t.keys().State(id), MovedKey(id))
 	}
 	t.writer.add(&pendingCommit{
 		commit: commit,
 		done: func(err error, _ time.Time) {
 			klog.InfoS("ended jobs deleted", "jobs", len(ids), "err", err)
+			if len(ids) == maxJobs {
+				t.jobsDeletedAt = time.Time{} // there may be more
+			}
 		},
 	})
 }
@@ -231,7 +235,7 @@
 		commit: store.Commit{
 			Set: []store.Write{
 				{
-					Key:   keyRoster,
+					Key:   t.keys().Roster,
 					Value: value,
 				},
 			},
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -54,6 +54,10 @@
 	waking          bool
 }
 
+func (t *term) keys() *Keys {
+	return &t.leader.config.Keys
+}
+
 // begin starts a term from the state that the acquisition loaded.
 func (l *Leader) begin(ctx context.Context, result *acquisitionResult, now time.Time) {
 	termCtx, cancel := context.WithCancel(ctx)
@@ -75,6 +79,7 @@
 		sequence: result.sequence,
 	}
 	l.term = t
+	l.takeDuty()
 	l.board = schedule.NewBoard(l.config.Board)
 	l.board.SetCatalog(l.catalog)
 	l.board.Evacuate(l.evacuatedZones)
@@ -110,7 +115,7 @@
 	l := t.leader
 	jobs := store.NewWatcher(store.WatcherConfig{
 		Client:  l.config.Store,
-		Prefix:  prefixWork,
+		Prefix:  t.keys().work,
 		Wait:    workWatchWait,
 		Gap:     jobsReadGap,
 		Timeout: callTimeout,
@@ -141,9 +146,9 @@
 	})
 }
 
-// observeWork handles new jobs and cancellations in store order. The lead key
-// has the same prefix, so that the end of this term is always seen before a job
-// that was submitted after it.
+// observeWork handles new jobs and cancellations in store order. The lead key or
+// the epoch has the same prefix, so that the end of this term is always seen
+// before a job that was submitted after the next one began.
 func (t *term) observeWork(view store.View, now time.Time) {
 	if view.Err != nil {
 		return
@@ -152,7 +157,7 @@
 		t.observeItem(item, now)
 	}
 	for _, event := range view.Events {
-		if event.Key == keyLead && event.Revision > t.token {
+		if (event.Key == t.keys().Lead || event.Key == t.keys().Epoch) && event.Revision > t.token {
 			t.observeLeadKey(decodeMember(event), leadRevision(event), now)
 			if t.leader.term != t {
 				return
@@ -192,7 +197,7 @@
 func (t *term) observeLeadKey(member Member, revision int64, now time.Time) {
 	switch {
 	case revision == 0 && !t.unoccupied:
-		klog.InfoS("leadership lapsed", "token", t.token)
+		klog.InfoS("leadership lapsed", "shard", t.leader.config.Shard, "token", t.token)
 		t.unoccupied = true
 		t.actUntil = now
 		t.leader.leadKeyRevision, t.leader.acquireAt = 0, now
@@ -202,7 +207,7 @@
 }
 
 func (t *term) observeItem(item store.Item, now time.Time) {
-	job, cancelled := decodeItem(item)
+	job, cancelled := t.keys().decodeItem(item)
 	if cancelled != "" {
 		klog.InfoS("job cancelled", "job", cancelled, "revision", item.Revision)
 		t.leader.board.Cancel(cancelled, now)
@@ -248,6 +253,10 @@
 		delete(t.listings, id)
 		return
 	}
+	if !t.leader.config.Owns(listing) {
+		delete(t.listings, id)
+		return
+	}
 	if previous, ok := t.listings[id]; !ok || previous.Draining != listing.Draining || previous.Address != listing.Address || !previous.Born.Equal(listing.Born) {
 		klog.InfoS("worker listed", "worker", id, "address", listing.Address, "zone", listing.Zone,
 			"draining", listing.Draining, "born", listing.Born, "revision", item.Revision)
@@ -294,11 +303,11 @@
 	case err == nil:
 		t.actUntil = c.sent.Add(ActTerm)
 	case errors.Is(err, store.ErrNoLease):
-		klog.InfoS("leadership lease lapsed", "token", t.token, "lease", t.lease)
+		klog.InfoS("leadership lease lapsed", "shard", t.leader.config.Shard, "token", t.token, "lease", t.lease)
 		t.unoccupied = true
 		t.leader.leadKeyRevision, t.leader.acquireAt = 0, now
 	default:
-		klog.InfoS("leadership not renewed", "token", t.token, "act_left", t.actUntil.Sub(now), "err", err)
+		klog.InfoS("leadership not renewed", "shard", t.leader.config.Shard, "token", t.token, "act_left", t.actUntil.Sub(now), "err", err)
 	}
 }
 
@@ -320,7 +329,7 @@
 	}
 	t.summarisedAt = now
 	summary := t.leader.board.Summary(now)
-	klog.InfoS("schedule", "token", t.token, "open", summary.Open, "waiting", summary.Waiting, "running", summary.Running,
+	klog.InfoS("schedule", "shard", t.leader.config.Shard, "token", t.token, "open", summary.Open, "waiting", summary.Waiting, "running", summary.Running,
 		"fillers", summary.Fillers, "serving", summary.Serving, "workers", summary.Workers, "capacity", summary.Capacity,
 		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare,
 		"events", len(t.leader.events), "orders", len(t.waiting))
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -25,6 +25,8 @@
 	Draining bool `cbor:"8,keyasint,omitempty"`
 	// Remaining is the least time until a draining worker shuts down.
 	Remaining time.Duration `cbor:"9,keyasint,omitempty"`
+	// Rack is where the worker is; empty if it is not known.
+	Rack string `cbor:"10,keyasint,omitempty"`
 }
 
 // workerState is one worker, known by its id.
--- /dev/null
+++ b/internal/request/intake/cancel.go
@@ -0,0 +1,59 @@
+package intake
+
+import (
+	"context"
+	"errors"
+
+	"k8s.io/klog/v2"
+
+	"mustardreach.example/mustardreach/internal/process/store"
+)
+
+// Cancel stores the cancellation of a job.
+func (i *Intake) Cancel(ctx context.Context, id string) Outcome {
+	started := i.config.Clock()
+	outcome, err := i.cancel(ctx, id)
+	i.config.Counts.Add("cancel_"+outcome.String(), 1)
+	i.config.RecordDuration("cancel", i.config.Clock().Sub(started))
+	klog.InfoS("cancellation requested", "job", id, "outcome", outcome, "took", i.config.Clock().Sub(started), "err", err)
+	return outcome
+}
+
+// cancel writes the cancellation beside the job's record. The condition on that
+// record fails if the job has moved or was deleted meanwhile; then it is looked
+// for again.
+func (i *Intake) cancel(ctx context.Context, id string) (Outcome, error) {
+	for range maxMoves {
+		item, at, err := i.find(ctx, id)
+		if errors.Is(err, store.ErrAbsent) {
+			return NoSuchJob, nil
+		}
+		if err != nil {
+			return NotAccepted, err
+		}
+		_, err = i.write(ctx, store.Commit{
+			If: []store.Condition{
+				{
+					Key:      item.Key,
+					Revision: item.Revision,
+				},
+			},
+			Set: []store.Write{
+				{
+					Key: at.keys.Cancel(id),
+				},
+			},
+		})
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			return Accepted, nil
+		case errors.As(err, &conflict):
+			continue
+		case errors.Is(err, store.ErrUnknown):
+			return Unknown, err
+		}
+		return NotAccepted, err
+	}
+	return NotAccepted, store.ErrUnavailable
+}
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"mustardreach.example/mustardreach/internal/process/leader"
+	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/process/store"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
@@ -46,8 +47,10 @@
 // Config configures an Intake.
 type Config struct {
 	Store store.Client
-	// Ask queries the leader. Known is false in the answer if the leader cannot
-	// be reached.
+	// Layout says which shard a job belongs to.
+	Layout shard.Layout
+	// Ask queries the leader of a shard. Known is false in the answer if the
+	// leader cannot be reached.
 	Ask func(ctx context.Context, question leader.Question) leader.Answer
 	// Clock returns the time that durations are measured with.
 	Clock func() time.Time
@@ -60,12 +63,15 @@
 // Intake accepts jobs and reports on them. It is safe for concurrent use.
 type Intake struct {
 	config Config
+	// pending holds the newest counts of the leaders.
+	pending *pendingCounts
 }
 
 // New returns an Intake.
 func New(config Config) *Intake {
 	return &Intake{
-		config: config,
+		config:  config,
+		pending: newPendingCounts(config.Layout.Shards),
 	}
 }
 
@@ -104,20 +110,7 @@
 	if err != nil {
 		return NotAccepted, 0, err
 	}
-	key := leader.JobKey(job.ID)
-	revision, err := i.write(ctx, store.Commit{
-		If: []store.Condition{
-			{
-				Key: key,
-			},
-		},
-		Set: []store.Write{
-			{
-				Key:   key,
-				Value: value,
-			},
-		},
-	})
+	revision, err := i.write(ctx, i.submission(job, value))
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
@@ -177,105 +170,3 @@
 		return 0, err
 	}
 }
-
-// State returns the state of a job. The outcome is Accepted if the state is
-// known.
-func (i *Intake) State(ctx context.Context, id string) (work.State, Outcome) {
-	started := i.config.Clock()
-	answer := i.config.Ask(ctx, leader.Question{
-		Job: id,
-	})
-	source, outcome, state := "leader", Accepted, answer.State
-	if !answer.Known {
-		source = "store"
-		state, outcome = i.readState(ctx, id)
-	}
-	i.config.Counts.Add("state_"+source+"_"+outcome.String(), 1)
-	i.config.RecordDuration("state_"+source, i.config.Clock().Sub(started))
-	klog.V(1).InfoS("state reported", "job", id, "state", state, "outcome", outcome, "source", source, "took", i.config.Clock().Sub(started))
-	return state, outcome
-}
-
-// readState derives a job's state from its records in the store.
-func (i *Intake) readState(ctx context.Context, id string) (work.State, Outcome) {
-	item, err := i.config.Store.Get(ctx, leader.StateKey(id))
-	if err == nil {
-		progress, err := work.DecodeProgress(item.Value)
-		if err != nil {
-			klog.ErrorS(err, "progress record cannot be read", "job", id, "revision", item.Revision)
-			return work.Queued, Unknown
-		}
-		if progress.State == work.Queued && progress.Started {
-			return work.Running, Accepted
-		}
-		return progress.State, Accepted
-	}
-	if !errors.Is(err, store.ErrAbsent) {
-		return work.Queued, Unknown
-	}
-	if _, err = i.config.Store.Get(ctx, leader.CancelKey(id)); err == nil {
-		return work.Cancelled, Accepted
-	}
-	_, err = i.config.Store.Get(ctx, leader.JobKey(id))
-	switch {
-	case err == nil:
-		return work.Queued, Accepted
-	case errors.Is(err, store.ErrAbsent):
-		return work.Queued, NoSuchJob
-	}
-	return work.Queued, Unknown
-}
-
-// Cancel stores the cancellation of a job.
-func (i *Intake) Cancel(ctx context.Context, id string) Outcome {
-	started := i.config.Clock()
-	outcome, err := i.cancel(ctx, id)
-	i.config.Counts.Add("cancel_"+outcome.String(), 1)
-	i.config.RecordDuration("cancel", i.config.Clock().Sub(started))
-	klog.InfoS("cancellation requested", "job", id, "outcome", outcome, "took", i.config.Clock().Sub(started), "err", err)
-	return outcome
-}
-
-func (i *Intake) cancel(ctx context.Context, id string) (Outcome, error) {
-	item, err := i.config.Store.Get(ctx, leader.JobKey(id))
-	if errors.Is(err, store.ErrAbsent) {
-		return NoSuchJob, nil
-	}
-	if err != nil {
-		return NotAccepted, err
-	}
-	_, err = i.write(ctx, store.Commit{
-		If: []store.Condition{
-			{
-				Key:      item.Key,
-				Revision: item.Revision,
-			},
-		},
-		Set: []store.Write{
-			{
-				Key: leader.CancelKey(id),
-			},
-		},
-	})
-	var conflict *store.ConflictError
-	switch {
-	case err == nil:
-		return Accepted, nil
-	case errors.As(err, &conflict):
-		return NoSuchJob, nil // the job's records were deleted meanwhile
-	case errors.Is(err, store.ErrUnknown):
-		return Unknown, err
-	}
-	return NotAccepted, err
-}
-
-// Pending returns the number of a queue's accepted jobs of which no task has
-// started. It returns false if the leader cannot be asked.
-func (i *Intake) Pending(ctx context.Context, queue string) (int, bool) {
-	answer := i.config.Ask(ctx, leader.Question{
-		Queue: queue,
-	})
-	i.config.Counts.Add("pending", 1)
-	klog.V(1).InfoS("pending count reported", "queue", queue, "pending", answer.Pending, "known", answer.Known)
-	return answer.Pending, answer.Known
-}
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardreach.example/mustardreach/internal/process/leader"
+	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/process/standin"
 	"mustardreach.example/mustardreach/internal/process/store"
 	"mustardreach.example/mustardreach/internal/request/work"
@@ -19,7 +20,8 @@
 // testIntake returns an Intake that cannot reach a leader.
 func testIntake(memory *standin.Memory) *Intake {
 	return New(Config{
-		Store: memory.Client(),
+		Store:  memory.Client(),
+		Layout: shard.Solo(),
 		Ask: func(context.Context, leader.Question) leader.Answer {
 			return leader.Answer{}
 		},
@@ -97,7 +99,7 @@
 			defer cancel()
 			got := testIntake(memory).Submit(ctx, testJob())
 			assert.Equal(t, tt.want.String(), got.String())
-			_, err := memory.Client().Get(context.Background(), leader.JobKey("a"))
+			_, err := memory.Client().Get(context.Background(), leader.KeysOf(0, 1).Job("a"))
 			assert.Equal(t, tt.stored, err == nil)
 		})
 	}
@@ -132,7 +134,7 @@
 	second.Spec = "another"
 	require.Equal(t, Accepted, intake.Submit(context.Background(), first))
 	require.Equal(t, Accepted, intake.Submit(context.Background(), second))
-	item, err := memory.Client().Get(context.Background(), leader.JobKey("a"))
+	item, err := memory.Client().Get(context.Background(), leader.KeysOf(0, 1).Job("a"))
 	require.NoError(t, err)
 	stored, err := work.DecodeJob(item.Value)
 	require.NoError(t, err)
--- /dev/null
+++ b/internal/request/intake/state.go
@@ -0,0 +1,101 @@
+package intake
+
+import (
+	"context"
+	"errors"
+
+	"k8s.io/klog/v2"
+
+	"mustardreach.example/mustardreach/internal/process/leader"
+	"mustardreach.example/mustardreach/internal/process/store"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// State returns the state of a job. The outcome is Accepted if the state is
+// known.
+func (i *Intake) State(ctx context.Context, id string) (work.State, Outcome) {
+	started := i.config.Clock()
+	source, outcome := "leader", Accepted
+	state, known := i.askState(ctx, id)
+	if !known {
+		source = "store"
+		state, outcome = i.readState(ctx, id)
+	}
+	i.config.Counts.Add("state_"+source+"_"+outcome.String(), 1)
+	i.config.RecordDuration("state_"+source, i.config.Clock().Sub(started))
+	klog.V(1).InfoS("state reported", "job", id, "state", state, "outcome", outcome, "source", source, "took", i.config.Clock().Sub(started))
+	return state, outcome
+}
+
+// askState asks the leader of the shard that the layout names, and then that of
+// the shard that the job has moved to.
+func (i *Intake) askState(ctx context.Context, id string) (work.State, bool) {
+	usual := i.config.Layout.OfJob(id)
+	answer := i.config.Ask(ctx, leader.Question{
+		Job:   id,
+		Shard: usual,
+	})
+	if answer.Known || i.config.Layout.Shards <= 1 {
+		return answer.State, answer.Known
+	}
+	at, err := i.locate(ctx, id)
+	if err != nil || at.shard == usual {
+		return work.Queued, false
+	}
+	answer = i.config.Ask(ctx, leader.Question{
+		Job:   id,
+		Shard: at.shard,
+	})
+	return answer.State, answer.Known
+}
+
+// readState derives a job's state from its records in the store.
+func (i *Intake) readState(ctx context.Context, id string) (work.State, Outcome) {
+	at, err := i.locate(ctx, id)
+	for range maxMoves {
+		if err != nil {
+			return work.Queued, Unknown
+		}
+		state, outcome := i.readStateAt(ctx, at, id)
+		if outcome != NoSuchJob || i.config.Layout.Shards <= 1 {
+			return state, outcome
+		}
+		before := at.moved
+		at, err = i.locate(ctx, id)
+		if err == nil && at.moved == before {
+			return work.Queued, NoSuchJob
+		}
+	}
+	return work.Queued, Unknown
+}
+
+// readStateAt reads the records of one shard. The job's own record is read last:
+// all of them are deleted together.
+func (i *Intake) readStateAt(ctx context.Context, at home, id string) (work.State, Outcome) {
+	item, err := i.config.Store.Get(ctx, at.keys.State(id))
+	if err == nil {
+		progress, err := work.DecodeProgress(item.Value)
+		if err != nil {
+			klog.ErrorS(err, "progress record cannot be read", "job", id, "revision", item.Revision)
+			return work.Queued, Unknown
+		}
+		if progress.State == work.Queued && progress.Started {
+			return work.Running, Accepted
+		}
+		return progress.State, Accepted
+	}
+	if !errors.Is(err, store.ErrAbsent) {
+		return work.Queued, Unknown
+	}
+	if _, err = i.config.Store.Get(ctx, at.keys.Cancel(id)); err == nil {
+		return work.Cancelled, Accepted
+	}
+	_, err = i.config.Store.Get(ctx, at.keys.Job(id))
+	switch {
+	case err == nil:
+		return work.Queued, Accepted
+	case errors.Is(err, store.ErrAbsent):
+		return work.Queued, NoSuchJob
+	}
+	return work.Queued, Unknown
+}
