Waiting jobs move to shards with room

Change: leaders publish their load twice a second and pass on what is above the mean, by one commit a few jobs. Only jobs of which no task was ever claimed in this term move. A move without an answer is settled by a commit that is conditional on the record. Long-running jobs wait for one round of moves before they start. Ruled out: moving jobs that have started; every worker of the old shard would have to be waited for.

--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -127,7 +127,8 @@
 	// loaded then.
 	resumed bool
 	jobs    []*work.Job
-	// createRevisions holds the create revision of each job's record.
+	// createRevisions holds the create revision of each job's record, which is
+	// never written again.
 	createRevisions map[string]int64
 	progress        map[string]*work.Progress
 	cancels         []string
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -75,9 +75,12 @@
 type Config struct {
 	Self  Member
 	Store store.Client
-	// Shard is the number of the shard to lead, Keys are its keys.
-	Shard int
-	Keys  Keys
+	// Shard is the number of the shard to lead, of Shards in all; Keys are its
+	// keys.
+	Shard, Shards int
+	// UsualShard returns the shard that a new job belongs to.
+	UsualShard func(id string) int
+	Keys       Keys
 	// Duties counts the shards that this host leads.
 	Duties *Duties
 	Calls  Calls
@@ -175,6 +178,12 @@
 	// learnedInterval is how often the learned state is saved. It is the most
 	// that is lost when a leader dies.
 	learnedInterval = 2 * time.Second
+	// balanceInterval is how often a leader publishes its load and moves jobs;
+	// loadsReadGap is the pause between two reads of the loads. A load older than
+	// loadAge is not used.
+	balanceInterval = 500 * time.Millisecond
+	loadsReadGap    = 100 * time.Millisecond
+	loadAge         = 2 * time.Second
 	// deleteInterval is how often the records of old jobs are deleted.
 	deleteInterval = 5 * time.Second
 )
--- a/internal/process/leader/group.go
+++ b/internal/process/leader/group.go
@@ -21,7 +21,7 @@
 // GroupConfig configures a Group.
 type GroupConfig struct {
 	// Leader is the configuration that the Leaders of all shards share; its
-	// Shard, Keys, Duties, Owns and LeaderChanged are set by the Group.
+	// Shard, Shards, Keys, Duties, Owns and LeaderChanged are set by the Group.
 	Leader Config
 	Layout shard.Layout
 	// LeaderChanged is called with the new leader of a shard when it changes;
@@ -44,8 +44,10 @@
 	duties := &Duties{}
 	for number := range config.Layout.Shards {
 		each := config.Leader
-		each.Shard = number
+		each.Shard, each.Shards = number, config.Layout.Shards
+		each.UsualShard = config.Layout.OfJob
 		each.Keys = KeysOf(number, config.Layout.Shards)
+		each.Board.HoldsLongRunning = config.Layout.Shards > 1
 		each.Duties = duties
 		each.Owns = func(listing schedule.Listing) bool {
 			return config.Layout.OfWorker(listing.ID, listing.Rack) == number
--- a/internal/process/leader/keys.go
+++ b/internal/process/leader/keys.go
@@ -14,6 +14,8 @@
 	prefixRoot = "mustardreach/"
 	// prefixLeads holds the lead keys of all shards of a divided fleet.
 	prefixLeads = prefixRoot + "lead/"
+	// prefixLoads holds the load of each shard, which its leader publishes.
+	prefixLoads = prefixRoot + "load/"
 	// prefixMoved holds the shard of each job that is not in the shard that the
 	// layout names for it.
 	prefixMoved = prefixRoot + "moved/"
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -147,6 +147,7 @@
 	l.term.saveProgress(now)
 	l.term.deleteOldJobs(now)
 	l.term.saveLearned(now)
+	l.term.moves.balance(now)
 	l.term.summarise(now)
 }
 
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -137,6 +137,7 @@
 			Address: netip.MustParseAddrPort("127.0.0.1:1"),
 			Zone:    "recife",
 			Rack:    fmt.Sprintf("r%d", index),
+			Labels:  []string{fmt.Sprintf("r%d", index)},
 			Service: "workshop",
 			Capacity: worker.Size{
 				MilliCores: 4000,
--- /dev/null
+++ b/internal/process/leader/moves.go
@@ -0,0 +1,280 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+
+	"mustardreach.example/mustardreach/internal/process/schedule"
+	"mustardreach.example/mustardreach/internal/process/shard"
+	"mustardreach.example/mustardreach/internal/process/store"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// moves passes waiting jobs to shards that have room. A move is one commit that
+// deletes the job's record here and creates it there. It is conditional on the
+// leadership, on the record and on there being no cancellation, so that a job is
+// in one shard at any time and its cancellation is seen there.
+type moves struct {
+	term *term
+	// revisions holds the revision of each job's record.
+	revisions map[string]int64
+	// loads holds the newest load of each other shard by service.
+	loads map[int]publishedLoad
+	// unsettled holds the jobs whose move got no answer. No other job moves until
+	// it is known whether it took effect.
+	unsettled  []schedule.Move
+	balancedAt time.Time
+	// publishing and probing are set while that call is in flight.
+	publishing, probing bool
+}
+
+// publishedLoad is the load of a shard and when it was read.
+type publishedLoad struct {
+	services map[string]shard.Load
+	readAt   time.Time
+}
+
+func newMoves(t *term, result *acquisitionResult) moves {
+	return moves{
+		term:      t,
+		revisions: result.createRevisions,
+		loads:     map[int]publishedLoad{},
+	}
+}
+
+// observeLoads updates the loads of other shards from a view.
+func (m *moves) observeLoads(view store.View, now time.Time) {
+	for _, item := range view.Items {
+		m.observeLoad(item, now)
+	}
+	for _, event := range view.Events {
+		if event.Removed {
+			if number, err := strconv.Atoi(strings.TrimPrefix(event.Key, prefixLoads)); err == nil {
+				delete(m.loads, number)
+			}
+			continue
+		}
+		m.observeLoad(event.Item, now)
+	}
+}
+
+func (m *moves) observeLoad(item store.Item, now time.Time) {
+	number, err := strconv.Atoi(strings.TrimPrefix(item.Key, prefixLoads))
+	var services map[string]shard.Load
+	if err == nil {
+		err = cbor.Unmarshal(item.Value, &services)
+	}
+	if err != nil {
+		klog.ErrorS(err, "load of a shard cannot be read", "key", item.Key, "revision", item.Revision)
+		return
+	}
+	m.loads[number] = publishedLoad{
+		services: services,
+		readAt:   now,
+	}
+}
+
+// balance publishes this shard's load and moves jobs at intervals.
+func (m *moves) balance(now time.Time) {
+	config := &m.term.leader.config
+	if config.Shards <= 1 || m.term.unoccupied || now.Sub(m.balancedAt) < balanceInterval {
+		return
+	}
+	m.balancedAt = now
+	own := m.term.leader.board.Loads(now)
+	m.publish(own)
+	if len(m.unsettled) > 0 {
+		m.probe()
+		return
+	}
+	if !now.Before(m.term.actUntil) {
+		return
+	}
+	m.send(m.term.leader.board.Moves(config.Shard, m.byService(own, now), now))
+}
+
+// byService returns the loads that are recent enough, by service and shard.
+func (m *moves) byService(own map[string]shard.Load, now time.Time) map[string]map[int]shard.Load {
+	out := map[string]map[int]shard.Load{}
+	add := func(number int, services map[string]shard.Load) {
+		for service, load := range services {
+			if out[service] == nil {
+				out[service] = map[int]shard.Load{}
+			}
+			out[service][number] = load
+		}
+	}
+	for number, published := range m.loads {
+		if now.Sub(published.readAt) <= loadAge {
+			add(number, published.services)
+		}
+	}
+	add(m.term.leader.config.Shard, own)
+	return out
+}
+
+// publish writes the load under the lease of the lead key, so that it disappears
+// with the leadership. It is advisory: no condition and no retry.
+func (m *moves) publish(own map[string]shard.Load) {
+	if m.publishing {
+		return
+	}
+	value, err := cbor.Marshal(own)
+	if err != nil {
+		klog.ErrorS(err, "load cannot be encoded")
+		return
+	}
+	m.publishing = true
+	call := &publication{
+		moves: m,
+		commit: store.Commit{
+			Set: []store.Write{
+				{
+					Key:   prefixLoads + strconv.Itoa(m.term.leader.config.Shard),
+					Value: value,
+					Lease: m.term.lease,
+				},
+			},
+		},
+	}
+	go call.run(m.term.ctx)
+}
+
+// publication is one write of the load in flight.
+type publication struct {
+	moves  *moves
+	commit store.Commit
+}
+
+func (p *publication) run(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := p.moves.term.leader.config.Store.Commit(limited, p.commit)
+	if err != nil {
+		klog.V(1).InfoS("load not published", "err", err)
+	}
+	p.moves.term.post(func(time.Time) { p.moves.publishing = false })
+}
+
+// send commits the moves, a few jobs a commit.
+func (m *moves) send(chosen []schedule.Move) {
+	const entriesPerJob = 5
+	const maxJobs = (store.MaxEntries - guardEntries) / entriesPerJob
+	for len(chosen) > 0 {
+		batch := chosen[:min(maxJobs, len(chosen))]
+		chosen = chosen[len(batch):]
+		commit, sent := store.Commit{}, []schedule.Move{}
+		for _, move := range batch {
+			if m.addTo(&commit, move) {
+				sent = append(sent, move)
+			}
+		}
+		m.term.writer.add(&pendingCommit{
+			commit: commit,
+			done:   func(err error, _ time.Time) { m.sent(sent, err) },
+		})
+	}
+}
+
+func (m *moves) addTo(commit *store.Commit, move schedule.Move) bool {
+	id, config := move.Job.ID, &m.term.leader.config
+	value, err := work.EncodeJob(move.Job)
+	if err != nil || m.revisions[id] == 0 {
+		klog.ErrorS(err, "job cannot be moved", "job", id, "revision", m.revisions[id])
+		m.term.leader.board.Stay(id)
+		return false
+	}
+	commit.If = append(commit.If, store.Condition{
+		Key:      config.Keys.Job(id),
+		Revision: m.revisions[id],
+	}, store.Condition{
+		Key: config.Keys.Cancel(id),
+	})
+	commit.Set = append(commit.Set, store.Write{
+		Key:   KeysOf(move.To, config.Shards).Job(id),
+		Value: value,
+	}, store.Write{
+		Key:   MovedKey(id),
+		Value: []byte(strconv.Itoa(move.To)),
+	})
+	commit.Delete = append(commit.Delete, config.Keys.Job(id))
+	return true
+}
+
+// sent handles the outcome of a commit of moves.
+func (m *moves) sent(batch []schedule.Move, err error) {
+	if errors.Is(err, store.ErrUnknown) {
+		m.unsettled = append(m.unsettled, batch...)
+		return
+	}
+	m.finish(batch, err == nil, err)
+}
+
+// probe finds out what became of moves without an answer, by a commit that is
+// conditional on the jobs' records here. If it succeeds, the moves have not taken
+// effect, and never will: they were conditional on the commit before. A record
+// that is gone has moved.
+func (m *moves) probe() {
+	if m.probing {
+		return
+	}
+	m.probing = true
+	const maxJobs = store.MaxEntries - guardEntries
+	batch := m.unsettled[:min(maxJobs, len(m.unsettled))]
+	commit := store.Commit{}
+	for _, move := range batch {
+		commit.If = append(commit.If, store.Condition{
+			Key:      m.term.keys().Job(move.Job.ID),
+			Revision: m.revisions[move.Job.ID],
+		})
+	}
+	m.term.writer.add(&pendingCommit{
+		commit: commit,
+		done:   func(err error, _ time.Time) { m.probed(batch, err) },
+	})
+}
+
+func (m *moves) probed(batch []schedule.Move, err error) {
+	m.probing = false
+	m.unsettled = m.unsettled[len(batch):]
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		m.finish(batch, false, nil)
+	case errors.As(err, &conflict):
+		present := map[string]bool{}
+		for _, item := range conflict.Items {
+			present[item.Key] = true
+		}
+		for _, move := range batch {
+			if present[m.term.keys().Job(move.Job.ID)] {
+				m.unsettled = append(m.unsettled, move)
+			} else {
+				m.finish([]schedule.Move{move}, true, nil)
+			}
+		}
+	default:
+		m.unsettled = append(m.unsettled, batch...)
+	}
+}
+
+func (m *moves) finish(batch []schedule.Move, moved bool, err error) {
+	board := m.term.leader.board
+	for _, move := range batch {
+		if moved {
+			board.Departed(move.Job.ID)
+			delete(m.revisions, move.Job.ID)
+			m.term.leader.config.Counts.Add("jobs_moved", 1)
+		} else {
+			board.Stay(move.Job.ID)
+		}
+		klog.InfoS("job moved", "job", move.Job.ID, "from", m.term.leader.config.Shard, "to", move.To,
+			"cores", move.MilliCores, "done", moved, "err", err)
+	}
+}
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -47,16 +47,13 @@
 	w.busy = true
 	pending := w.waiting[0]
 	w.waiting = w.waiting[1:]
-	pending.commit.If = []store.Condition{
-		{
-			Key:      w.term.keys().Lead,
-			Revision: w.term.token,
-		},
-		{
-			Key:      w.term.keys().Sequence,
-			Revision: w.sequence,
-		},
-	}
+	pending.commit.If = append(pending.commit.If, store.Condition{
+		Key:      w.term.keys().Lead,
+		Revision: w.term.token,
+	}, store.Condition{
+		Key:      w.term.keys().Sequence,
+		Revision: w.sequence,
+	})
 	pending.commit.Set = append(pending.commit.Set, store.Write{
 		Key: w.term.keys().Sequence,
 	})
@@ -173,6 +170,7 @@
 	}
 	commit := store.Commit{}
 	for _, id := range ids {
+		delete(t.moves.revisions, id)
 		commit.Delete = append(commit.Delete, t.keys().Job(id), t.keys().Cancel(id), t.keys().State(id), MovedKey(id))
 	}
 	t.writer.add(&pendingCommit{
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -52,6 +52,7 @@
 	writer          writer
 	summarisedAt    time.Time
 	waking          bool
+	moves           moves
 }
 
 func (t *term) keys() *Keys {
@@ -94,6 +95,7 @@
 	for _, id := range result.cancels {
 		l.board.Cancel(id, now)
 	}
+	t.moves = newMoves(t, result)
 	l.leading.Store(true)
 	t.watchStore(result.revision)
 	t.updateLinks(now)
@@ -134,6 +136,18 @@
 		OnView:  func(view store.View) { t.post(func(now time.Time) { t.observeWorkers(view, now) }) },
 	})
 	go workers.Run(t.ctx)
+	if l.config.Shards > 1 {
+		loads := store.NewWatcher(store.WatcherConfig{
+			Client:  l.config.Store,
+			Prefix:  prefixLoads,
+			Wait:    workWatchWait,
+			Gap:     loadsReadGap,
+			Timeout: callTimeout,
+			Clock:   l.config.Clock,
+			OnView:  func(view store.View) { t.post(func(now time.Time) { t.moves.observeLoads(view, now) }) },
+		})
+		go loads.Run(t.ctx)
+	}
 }
 
 // post sends an event to the loop, which drops it if the term has ended
@@ -216,8 +230,12 @@
 	if job == nil {
 		return
 	}
+	t.moves.revisions[job.ID] = item.Revision
 	klog.InfoS("job seen", "job", job.ID, "queue", job.Queue, "revision", item.Revision)
 	t.leader.board.AddJob(job, nil, item.CreateRevision < t.token, now, t.leader.config.TimeOfDay())
+	if t.leader.config.UsualShard(job.ID) != t.leader.config.Shard {
+		t.leader.board.Arrived(job.ID)
+	}
 }
 
 // observeWorkers updates the list of workers from a view.
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -32,6 +32,9 @@
 	MaxOverTarget time.Duration
 	// KeepEnded is how long ended jobs are kept in memory.
 	KeepEnded time.Duration
+	// HoldsLongRunning delays the start of a long-running job until a round of
+	// moves has left it in this shard.
+	HoldsLongRunning bool
 }
 
 // Board is the whole state of the scheduler. It is owned by one goroutine.
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -140,7 +140,7 @@
 	if now.Before(step.tasks[0].notBefore) {
 		return
 	}
-	run := b.nextRun()
+	run, everClaimed := b.nextRun(), j.everClaimed
 	chosen := make([]*workerState, 0, len(step.tasks))
 	for _, t := range step.tasks {
 		w := b.chooseWorker(step, t, pool)
@@ -154,6 +154,7 @@
 		for i, w := range chosen {
 			b.release(w, step.tasks[i].key, now)
 		}
+		j.everClaimed = everClaimed // nothing was sent
 		return
 	}
 	b.startsLeft -= len(step.tasks)
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -70,6 +70,14 @@
 	// one, zero if there is none: its tasks may be running on workers that have
 	// not reported yet.
 	inherited int64
+	// fromEarlierTerm is set if the job was accepted before this term, and
+	// everClaimed once one of its tasks had a claim: it stays in this shard.
+	// departing jobs are on their way to another shard and are not started.
+	fromEarlierTerm, everClaimed, departing bool
+	// balanced is set once a round of moves has left the job here.
+	balanced bool
+	// seen is when the job was added here.
+	seen time.Time
 	// attempts is the last known limit of attempts per task, zero for no limit.
 	attempts int
 
@@ -106,9 +114,10 @@
 	j := &job{
 		work:    spec,
 		arrived: now.Add(-age),
+		seen:    now,
 	}
 	if inherited {
-		j.inherited = b.token
+		j.inherited, j.fromEarlierTerm = b.token, true
 	}
 	if queue, ok := b.catalog.Queues[spec.Queue]; ok {
 		j.attempts, j.priority = queue.MaxAttempts, queue.Priority
--- /dev/null
+++ b/internal/process/schedule/moves.go
@@ -0,0 +1,206 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"mustardreach.example/mustardreach/internal/process/shard"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// Move is a job that leaves the shard.
+type Move struct {
+	Job *work.Job
+	To  int
+	// MilliCores is what its waiting tasks ask for.
+	MilliCores int64
+}
+
+const (
+	// moveDelay is how long a job waits before it may move: the next decisions
+	// may place it.
+	moveDelay = 150 * time.Millisecond
+	// maxMoves limits the moves of one round, each of which is a few writes to
+	// the store.
+	maxMoves = 40
+)
+
+// Loads returns the load of each service. Label lists are sorted.
+func (b *Board) Loads(now time.Time) map[string]shard.Load {
+	loads := map[string]shard.Load{}
+	for _, w := range b.workers {
+		if !b.usable(w, now) {
+			continue
+		}
+		load := loads[w.Service]
+		load.Capacity += w.Capacity.MilliCores
+		load.Free += max(0, w.free().MilliCores)
+		load.Unused += max(0, w.idle)
+		for _, label := range w.Labels {
+			if !slices.Contains(load.Labels, label) {
+				load.Labels = append(load.Labels, label)
+			}
+		}
+		loads[w.Service] = load
+	}
+	for _, j := range b.open {
+		if j.departing || j.left == j.claims {
+			continue
+		}
+		firm, fillers := j.waitingCores(now)
+		load := loads[b.serviceOf(j)]
+		load.Waiting += firm
+		load.WaitingFillers += fillers
+		loads[b.serviceOf(j)] = load
+	}
+	for service, load := range loads {
+		slices.Sort(load.Labels)
+		loads[service] = load
+	}
+	return loads
+}
+
+// waitingCores returns what the tasks that could start ask for, in millicores.
+func (j *job) waitingCores(now time.Time) (firm, fillers int64) {
+	for _, occ := range j.occurrences {
+		for _, step := range occ.steps {
+			if step.waiting == 0 || !occ.ready(step, now) {
+				continue
+			}
+			cores := int64(step.waiting) * max(1, step.spec.Size.MilliCores)
+			if step.spec.Filler {
+				fillers += cores
+			} else {
+				firm += cores
+			}
+		}
+	}
+	return firm, fillers
+}
+
+// Moves picks the jobs that should go to other shards, given the loads of all
+// shards by service. Load pattern: one shard has more work than capacity while
+// another has room; or no worker here has the label that a job requires. Only
+// jobs of which nothing was ever started move: whoever leads the other shard may
+// then start them without waiting for workers of this one. The jobs picked are
+// not started here until Stay is called.
+func (b *Board) Moves(own int, loads map[string]map[int]shard.Load, now time.Time) []Move {
+	var candidates []candidate
+	for _, j := range b.open {
+		if j.movable(now) {
+			candidates = append(candidates, candidate{
+				job:  j,
+				rank: b.rankOf(j, now),
+			})
+		}
+	}
+	slices.SortFunc(candidates, compareRanks)
+	budgets := map[budgetKey]map[int]int64{}
+	var out []Move
+	for _, next := range candidates {
+		if len(out) == maxMoves {
+			break
+		}
+		firm, fillers := next.job.waitingCores(now)
+		if firm+fillers == 0 {
+			continue
+		}
+		key := budgetKey{
+			service: b.serviceOf(next.job),
+			filler:  fillers > firm,
+		}
+		if _, ok := budgets[key]; !ok {
+			budgets[key] = shard.Budgets(loads[key.service], own, key.filler)
+		}
+		next.job.balanced = true
+		target, ok := chooseShard(next.job, budgets[key], firm+fillers, loads[key.service], own)
+		if !ok {
+			continue
+		}
+		if budgets[key] != nil {
+			budgets[key][target] -= firm + fillers
+		}
+		next.job.departing = true
+		out = append(out, Move{
+			Job:        next.job.work,
+			To:         target,
+			MilliCores: firm + fillers,
+		})
+	}
+	return out
+}
+
+type budgetKey struct {
+	service string
+	filler  bool
+}
+
+// movable reports whether the job may move: no task of it can ever have been
+// started, and it is not about to start here.
+func (j *job) movable(now time.Time) bool {
+	if j.departing || j.fromEarlierTerm || j.everClaimed {
+		return false
+	}
+	return now.Sub(j.seen) >= moveDelay || j.work.LongRunning() && !j.balanced
+}
+
+// held reports whether a job waits for a round of moves. Load pattern: hundreds
+// of long-running jobs arrive within seconds and take most of the capacity for
+// minutes. Chance gives some shards more than they can hold; a task that fails
+// there finds no room again while other shards have it.
+func (b *Board) held(j *job) bool {
+	return b.config.HoldsLongRunning && !j.balanced && !j.fromEarlierTerm && !j.everClaimed && j.work.LongRunning()
+}
+
+// Arrived marks a job that was moved here: it is not held again.
+func (b *Board) Arrived(id string) {
+	if j := b.jobs[id]; j != nil {
+		j.balanced = true
+	}
+}
+
+// chooseShard returns the shard with the largest budget that covers at least
+// half of the job. A job that no worker here may run goes to any shard that has
+// workers for it.
+func chooseShard(j *job, budgets map[int]int64, cores int64, loads map[int]shard.Load, own int) (int, bool) {
+	const minCover = 2
+	stuck := loads[own].Capacity > 0 && !runnableIn(j, loads[own])
+	best, found := 0, false
+	for number, load := range loads {
+		if number == own || !runnableIn(j, load) || !stuck && budgets[number]*minCover < cores {
+			continue
+		}
+		better := budgets[number] > budgets[best] || budgets[number] == budgets[best] && number < best
+		if !found || better {
+			best, found = number, true
+		}
+	}
+	return best, found
+}
+
+// runnableIn reports whether a shard with the load has workers with all labels
+// that the job requires.
+func runnableIn(j *job, load shard.Load) bool {
+	for s := range j.work.Steps {
+		if label := j.work.Steps[s].Label; label != "" && !slices.Contains(load.Labels, label) {
+			return false
+		}
+	}
+	return load.Capacity > 0
+}
+
+// Stay keeps a job whose move has had no effect.
+func (b *Board) Stay(id string) {
+	if j := b.jobs[id]; j != nil {
+		j.departing, j.balanced = false, true
+	}
+}
+
+// Departed drops a job that belongs to another shard now.
+func (b *Board) Departed(id string) {
+	if j := b.jobs[id]; j != nil && j.departing {
+		delete(b.jobs, id)
+		delete(b.open, id)
+		delete(b.unsaved, id)
+	}
+}
--- /dev/null
+++ b/internal/process/schedule/moves_test.go
@@ -0,0 +1,160 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mustardreach.example/mustardreach/internal/process/shard"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// loadsOf returns the loads of boards that lead shards, by service and shard.
+func loadsOf(now time.Time, boards ...*Board) map[string]map[int]shard.Load {
+	out := map[string]map[int]shard.Load{}
+	for number, board := range boards {
+		for service, load := range board.Loads(now) {
+			if out[service] == nil {
+				out[service] = map[int]shard.Load{}
+			}
+			out[service][number] = load
+		}
+	}
+	return out
+}
+
+// movesOf returns the ids of the jobs that the first board passes on.
+func movesOf(now time.Time, boards ...*Board) []string {
+	var ids []string
+	for _, move := range boards[0].Moves(0, loadsOf(now, boards...), now) {
+		ids = append(ids, move.Job.ID)
+	}
+	return ids
+}
+
+func TestOnlyUntouchedJobsMove(t *testing.T) {
+	later := testStart.Add(2 * moveDelay)
+	tests := map[string]struct {
+		prepare func(board *Board)
+		want    []string
+	}{
+		"waits while there is no capacity here": {
+			prepare: func(board *Board) {
+				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, false, testStart, testStart)
+			},
+			want: []string{"b"},
+		},
+		"was accepted in an earlier term": {
+			prepare: func(board *Board) {
+				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, true, testStart, testStart)
+			},
+		},
+		"has just arrived": {
+			prepare: func(board *Board) {
+				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, false, later, testStart)
+			},
+		},
+		"is cancelled": {
+			prepare: func(board *Board) {
+				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, false, testStart, testStart)
+				board.Cancel("b", testStart)
+			},
+		},
+		"waits for its time": {
+			prepare: func(board *Board) {
+				timed := testJob("b", "quotes", tasks(1, 8000))
+				timed.Repeat, timed.FirstRun = 1, testStart.Add(time.Hour)
+				board.AddJob(timed, nil, false, testStart, testStart)
+			},
+		},
+		"a start of it may have arrived": {
+			prepare: func(board *Board) {
+				board.AddJob(testJob("b", "quotes", tasks(2, 4000)), nil, false, testStart, testStart)
+				effects := board.Decide(testStart, true)
+				for _, start := range effects.Starts {
+					board.StartReplied(start, Unknown, testStart)
+				}
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			full, empty := testBoard("w0"), testBoard("w1", "w2")
+			full.AddJob(testJob("a", "quotes", tasks(1, 4000)), nil, false, testStart, testStart)
+			accept(full, full.Decide(testStart, true), testStart)
+			test.prepare(full)
+			assert.Equal(t, test.want, movesOf(later, full, empty))
+		})
+	}
+}
+
+// A job on its way is not started here: the other shard may start it already.
+func TestDepartingJobIsNotStarted(t *testing.T) {
+	now := testStart.Add(2 * moveDelay)
+	full, empty := testBoard("w0"), testBoard("w1")
+	full.AddJob(testJob("a", "quotes", tasks(1, 8000)), nil, false, testStart, testStart)
+	accept(full, full.Decide(testStart, true), testStart)
+	full.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, false, testStart, testStart)
+	require.Equal(t, []string{"b"}, movesOf(now, full, empty))
+	full.Cancel("a", now)
+	full.releaseAll(full.workers["w0"], now)
+	assert.Empty(t, full.Decide(now.Add(time.Second), true).Starts)
+	full.Stay("b")
+	assert.Len(t, full.Decide(now.Add(2*time.Second), true).Starts, 1)
+}
+
+// A job that requires a label which no worker of its shard has would wait for
+// ever.
+func TestJobGoesWhereItsLabelIs(t *testing.T) {
+	now := testStart.Add(2 * moveDelay)
+	without, with := testBoard("w0"), testBoard("w1")
+	with.workers["w1"].Labels = []string{"gpu"}
+	labelled := tasks(1, 1000)
+	labelled.Label = "gpu"
+	without.AddJob(testJob("a", "quotes", labelled), nil, false, testStart, testStart)
+	assert.Equal(t, []string{"a"}, movesOf(now, without, with))
+}
+
+// Load pattern: jobs that differ in size by a factor of ten fall to four shards
+// by chance. Passing them on starts more of them in the same time.
+func TestMovesFillAllShards(t *testing.T) {
+	started := func(balanced bool) int {
+		boards, now, count := []*Board{}, testStart, 0
+		for number := range 4 {
+			ids := make([]string, 10)
+			for i := range ids {
+				ids[i] = fmt.Sprintf("w%d-%d", number, i)
+			}
+			boards = append(boards, testBoard(ids...))
+		}
+		for i := range 40 {
+			width := 1 + i*7%10
+			boards[i%2].AddJob(testJob(fmt.Sprintf("j%02d", i), "plans", tasks(width, 2000)), nil, false, now, now)
+		}
+		specs := map[string]*work.Job{}
+		for range 4 {
+			now = now.Add(2 * moveDelay)
+			for number, board := range boards {
+				effects := board.Decide(now, true)
+				accept(board, effects, now)
+				count += len(effects.Starts)
+				if !balanced {
+					continue
+				}
+				for _, move := range board.Moves(number, loadsOf(now, boards...), now) {
+					require.Nil(t, specs[move.Job.ID], "a job moves once")
+					specs[move.Job.ID] = move.Job
+					board.Departed(move.Job.ID)
+					boards[move.To].AddJob(move.Job, nil, false, now, now)
+				}
+			}
+		}
+		return count
+	}
+	apart, together := started(false), started(true)
+	assert.Equal(t, 80, apart, "two of the four shards are idle")
+	assert.Greater(t, together, 150)
+}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -13,7 +13,7 @@
 func (b *Board) place(now time.Time) {
 	candidates := make([]candidate, 0, len(b.open))
 	for _, j := range b.open {
-		if j.left > j.claims && b.mayStart(j, now) {
+		if j.left > j.claims && !j.departing && !b.held(j) && b.mayStart(j, now) {
 			candidates = append(candidates, candidate{
 				job:  j,
 				rank: b.rankOf(j, now),
