--- a/internal/process/command/platform.go
+++ b/internal/process/command/platform.go
@@ -22,10 +22,13 @@
 func (s *session) platform() *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "platform",
-		ShortUsage: "mustardreach platform",
+		ShortUsage: "mustardreach platform [shards]",
 		ShortHelp:  "run an entry host on the users' platform",
 		LongHelp:   "The platform provides the settings in a file; docs/PLATFORM.md describes it.",
 		FlagSet:    s.flags("platform"),
+		Subcommands: []*ffcli.Command{
+			s.shards(),
+		},
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
 				return usageError("unexpected argument %q", args[0])
--- a/internal/process/leader/group_test.go
+++ b/internal/process/leader/group_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"mustardreach.example/mustardreach/internal/process/shard"
+	"mustardreach.example/mustardreach/internal/process/store"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -98,6 +100,29 @@
 	}
 }
 
+// The status that operators see names the leaders and their loads.
+func TestReadShards(t *testing.T) {
+	s := newSite(t)
+	_, err := ReadShards(t.Context(), s.store.Client())
+	require.ErrorIs(t, err, store.ErrAbsent)
+	value, err := cbor.Marshal(twoShards)
+	require.NoError(t, err)
+	s.put(keyLayout, value)
+	group := s.startGroup(t.Context(), "recife-1", twoShards)
+	require.Eventually(t, func() bool {
+		status, err := ReadShards(t.Context(), s.store.Client())
+		return err == nil && status[0].Loads["workshop"].Capacity == 4000 && status[1].Loads["workshop"].Capacity == 4000
+	}, waitTimeout, 20*time.Millisecond)
+	status, err := ReadShards(t.Context(), s.store.Client())
+	require.NoError(t, err)
+	assert.Equal(t, "recife-1", status[1].Host)
+	assert.Positive(t, status[1].Token)
+	group.Resign(t.Context())
+	status, err = ReadShards(t.Context(), s.store.Client())
+	require.NoError(t, err)
+	assert.Empty(t, status[1].Host)
+}
+
 // Resigning hands over every shard.
 func TestGroupResignsAllShards(t *testing.T) {
 	s := newSite(t)
