Shards of 400 workers in place of 160

What is learned of interference is learned seven times. Change: one bound, 400 workers, for a whole fleet and for a shard: the large site has three leaders. A benchmark compares a decision of the whole fleet with a shard's.

--- a/internal/process/leader/layout_test.go
+++ b/internal/process/leader/layout_test.go
@@ -71,7 +71,7 @@
 		}()
 	}
 	first := <-layouts
-	assert.Equal(t, 7, first.Shards)
+	assert.Equal(t, 3, first.Shards)
 	assert.Equal(t, first, <-layouts)
 	assert.Equal(t, first, <-layouts)
 }
@@ -86,7 +86,7 @@
 	}()
 	layout, err := FetchLayout(t.Context(), s.layoutConfig())
 	require.NoError(t, err)
-	assert.Equal(t, 4, layout.Shards)
+	assert.Equal(t, 2, layout.Shards)
 }
 
 // A fleet that was started by a release without layouts has records under the
--- a/internal/process/schedule/bench_test.go
+++ b/internal/process/schedule/bench_test.go
@@ -9,15 +9,20 @@
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
-// crowdedBoard returns an overloaded board: 48 workers and 250 jobs, fillers
-// and others, that ask for far more than the capacity.
+// crowdedBoard returns an overloaded board of 48 workers.
 func crowdedBoard() *Board {
-	ids := make([]string, 48)
+	return overloadedBoard(48, 250)
+}
+
+// overloadedBoard returns a board with jobs of 12 tasks, fillers and others, that
+// ask for far more than the capacity.
+func overloadedBoard(workers, jobs int) *Board {
+	ids := make([]string, workers)
 	for i := range ids {
 		ids[i] = fmt.Sprintf("w%02d", i)
 	}
 	board := testBoard(ids...)
-	for i := range 250 {
+	for i := range jobs {
 		step := work.Step{
 			Count: 12,
 			Size: worker.Size{
@@ -52,6 +57,34 @@
 	}
 }
 
+// BenchmarkDecideFleet compares a decision of one leader of a large fleet, in
+// which some 16,000 tasks wait, with that of one of its seven shards.
+func BenchmarkDecideFleet(b *testing.B) {
+	for name, size := range map[string]struct {
+		workers, jobs int
+	}{
+		"whole, 1100 workers": {
+			workers: 1100,
+			jobs:    1600,
+		},
+		"shard, 157 workers": {
+			workers: 157,
+			jobs:    229,
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			board := overloadedBoard(size.workers, size.jobs)
+			now := testStart
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				board.LimitStarts(64)
+				board.Decide(now, true)
+			}
+		})
+	}
+}
+
 // BenchmarkApplyReport applies one worker's report to an overloaded board.
 func BenchmarkApplyReport(b *testing.B) {
 	board := crowdedBoard()
--- a/internal/process/shard/layout.go
+++ b/internal/process/shard/layout.go
@@ -10,15 +10,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// soloWorkers is the largest fleet that stays whole: one leader packs all of
-	// its capacity at once and carries that many workers.
-	soloWorkers = 400
-	// shardWorkers is how many workers a shard of a larger fleet has. A leader
-	// on 0.8 of a core starts 1,200 tasks a second, and bursts ask for 5 a
-	// second for each worker; a third of the processor is left for polls.
-	shardWorkers = 160
-)
+// maxWorkers is the most workers that one leader is given. A leader on 0.8 of a
+// core starts 1,200 tasks a second; a busy fleet asks for two a second for each
+// worker, and a third of the processor is needed for polls. Smaller shards pack
+// worse: a wide job finds less room at once.
+const maxWorkers = 400
 
 // Worker is what the division of a fleet depends on.
 type Worker struct {
@@ -49,11 +45,11 @@
 // get about the same capacity in every zone. The loss of a zone then takes the
 // same part of each shard.
 func Plan(workers []Worker) Layout {
-	if len(workers) <= soloWorkers {
+	if len(workers) <= maxWorkers {
 		return Solo()
 	}
 	layout := Layout{
-		Shards: (len(workers) + shardWorkers - 1) / shardWorkers,
+		Shards: (len(workers) + maxWorkers - 1) / maxWorkers,
 		Racks:  map[string]int{},
 	}
 	type load struct{ inZone, total int64 }
--- a/internal/process/shard/layout_test.go
+++ b/internal/process/shard/layout_test.go
@@ -30,10 +30,10 @@
 	}{
 		"no worker":        {workers: 0, shards: 1},
 		"small fleet":      {workers: 48, shards: 1},
-		"largest solo":     {workers: soloWorkers, shards: 1},
-		"hundreds":         {workers: 640, shards: 4},
-		"eleven hundred":   {workers: 1100, shards: 7},
-		"several thousand": {workers: 4000, shards: 25},
+		"largest solo":     {workers: maxWorkers, shards: 1},
+		"hundreds":         {workers: 640, shards: 2},
+		"eleven hundred":   {workers: 1100, shards: 3},
+		"several thousand": {workers: 4000, shards: 10},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.Equal(t, test.shards, Plan(fleet(test.workers, 5)).Shards)
@@ -65,7 +65,7 @@
 // in which they read them, and racks must stay whole.
 func TestPlanDependsOnNoOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		workers := fleet(rapid.IntRange(soloWorkers+1, 1500).Draw(t, "workers"), rapid.IntRange(1, 7).Draw(t, "zones"))
+		workers := fleet(rapid.IntRange(maxWorkers+1, 1500).Draw(t, "workers"), rapid.IntRange(1, 7).Draw(t, "zones"))
 		layout := Plan(workers)
 		assert.Equal(t, layout, Plan(rapid.Permutation(workers).Draw(t, "order")))
 		racks := map[string]int{}
