The layout waits until the list of workers stops growing

Cause: on the large site the workers register over five seconds (209 listed after 1.6 s, 831 after 3.5 s, 1,100 after 5 s); the layout was made at a fixed 5 s. A larger or slower fleet would have been divided by a part of its workers, or not at all, for good. Change: the list counts as whole when it grows by less than 1 % between two reads, after 10 s at the latest; 5 s hold for an empty list only. Tests: TestListIsWhole.

--- a/internal/process/leader/layout.go
+++ b/internal/process/leader/layout.go
@@ -19,9 +19,14 @@
 	// layoutReadGap is how long the list of workers must stay the same, and the
 	// longest wait for another host's layout between two attempts.
 	layoutReadGap = 400 * time.Millisecond
-	// layoutWait is how long a new fleet waits for its workers to be listed
-	// before it is taken for a small one.
-	layoutWait = 5 * time.Second
+	// emptyWait is how long a new fleet waits for its first worker to be listed
+	// before it is taken for a small one, growthWait how long for the list to
+	// stop growing.
+	emptyWait  = 5 * time.Second
+	growthWait = 10 * time.Second
+	// maxGrowth is the growth of the list between two reads, as a share, below
+	// which it counts as whole.
+	maxGrowth = 0.01
 )
 
 // LayoutConfig configures FetchLayout.
@@ -48,7 +53,7 @@
 		if err == nil && waited >= config.Delay {
 			var listed []shard.Worker
 			listed, err = listWorkers(ctx, config)
-			if err == nil && (len(listed) > 0 && len(listed) == workers || waited >= layoutWait) {
+			if err == nil && listIsWhole(len(listed), workers, waited) {
 				if err = createLayout(ctx, config.Store, shard.Plan(listed)); err == nil {
 					continue
 				}
@@ -66,6 +71,16 @@
 	}
 }
 
+// listIsWhole reports whether a list of workers that had before entries at the
+// last read, or -1 without one, can be divided. Load pattern: a new fleet, whose
+// workers register over several seconds.
+func listIsWhole(entries, before int, waited time.Duration) bool {
+	if entries == 0 {
+		return waited >= emptyWait
+	}
+	return before >= 0 && float64(entries-before) <= maxGrowth*float64(entries) || waited >= growthWait
+}
+
 // readLayout returns the layout, without shards if there is none, and the
 // store's revision.
 func readLayout(ctx context.Context, client store.Client) (shard.Layout, int64, error) {
--- a/internal/process/leader/layout_test.go
+++ b/internal/process/leader/layout_test.go
@@ -89,6 +89,27 @@
 	assert.Equal(t, 2, layout.Shards)
 }
 
+func TestListIsWhole(t *testing.T) {
+	for name, test := range map[string]struct {
+		entries, before int
+		waited          time.Duration
+		want            bool
+	}{
+		"first read":             {entries: 1100, before: -1},
+		"grows":                  {entries: 1100, before: 900, waited: 6 * time.Second},
+		"hardly grows":           {entries: 1100, before: 1095, want: true},
+		"the same":               {entries: 48, before: 48, want: true},
+		"grows for too long":     {entries: 1100, before: 900, waited: growthWait, want: true},
+		"empty at first":         {before: 0, waited: time.Second},
+		"empty for a long time":  {before: 0, waited: emptyWait, want: true},
+		"small, one more worker": {entries: 49, before: 48},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.want, listIsWhole(test.entries, test.before, test.waited))
+		})
+	}
+}
+
 // A fleet that was started by a release without layouts has records under the
 // keys of one leader: it must stay whole, or its jobs would be lost.
 func TestEarlierFleetKeepsOneLeader(t *testing.T) {
