A stale listing brings no moved or deleted job back

A record that was read before its job moved to another shard, or before the ended job was deleted, arrives after that: the job is unknown then and would be started again.

--- /dev/null
+++ b/internal/process/leader/acquisition.go
@@ -0,0 +1,216 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+
+	"mustardreach.example/mustardreach/internal/process/schedule"
+	"mustardreach.example/mustardreach/internal/process/store"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// acquisition is one attempt to acquire the leadership and to load the state
+// that a term starts from.
+type acquisition struct {
+	leader *Leader
+	// replace is the revision of the lead key to replace; zero if there is no
+	// lead key.
+	replace int64
+	// formerToken is the token of this host's lapsed term, which is resumed if
+	// nobody else has led since; zero without such a term.
+	formerToken int64
+}
+
+// acquisitionResult is the outcome of a successful acquisition.
+type acquisitionResult struct {
+	token int64
+	lease int64
+	// sent is when the write that acquired the leadership was sent.
+	sent time.Time
+	// resumed is set if nobody else has led since formerToken. Nothing is
+	// loaded then.
+	resumed bool
+	jobs    []*work.Job
+	// createRevisions holds the create revision of each job's record, which is
+	// never written again.
+	createRevisions map[string]int64
+	progress        map[string]*work.Progress
+	cancels         []string
+	roster          []schedule.Listing
+	learned         schedule.Learned
+	// sequence is the revision of keySequence, which orders commits.
+	sequence int64
+	// revision is the store revision at which the work was listed.
+	revision int64
+}
+
+func (a *acquisition) run(ctx context.Context) {
+	result, err := a.acquire(ctx)
+	a.leader.post(func(now time.Time) { a.leader.finishAcquisition(ctx, result, err, now) })
+}
+
+func (a *acquisition) acquire(ctx context.Context) (*acquisitionResult, error) {
+	result, err := a.writeLeadKey(ctx)
+	if err != nil || result.resumed {
+		return result, err
+	}
+	keeper := &leaseKeeper{
+		store:   a.leader.config.Store,
+		clock:   a.leader.config.Clock,
+		lease:   result.lease,
+		renewed: result.sent,
+	}
+	held, release := context.WithCancel(ctx)
+	defer release()
+	go keeper.run(held, release)
+	err = a.load(held, result)
+	result.sent = keeper.lastRenewal()
+	return result, err
+}
+
+// writeLeadKey writes the lead key and the epoch under a new lease. Errors:
+// those of the store, such as a conflict if the lead key has changed.
+func (a *acquisition) writeLeadKey(ctx context.Context) (*acquisitionResult, error) {
+	limited, cancel := context.WithTimeout(ctx, leaseTTL)
+	defer cancel()
+	client := a.leader.config.Store
+	keys := &a.leader.config.Keys
+	epoch, err := client.Get(limited, keys.Epoch)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return nil, fmt.Errorf("read key %s: %w", keys.Epoch, err)
+	}
+	lease, err := client.Grant(limited, leaseTTL)
+	if err != nil {
+		return nil, fmt.Errorf("grant a lease for key %s: %w", keys.Lead, err)
+	}
+	value, err := cbor.Marshal(a.leader.config.Self)
+	if err != nil {
+		return nil, err
+	}
+	result := &acquisitionResult{
+		lease:   lease,
+		sent:    a.leader.config.Clock(),
+		resumed: a.formerToken != 0 && epoch.Revision == a.formerToken,
+	}
+	result.token, err = client.Commit(limited, store.Commit{
+		If: []store.Condition{
+			{
+				Key:      keys.Lead,
+				Revision: a.replace,
+			},
+			{
+				Key:      keys.Epoch,
+				Revision: epoch.Revision,
+			},
+		},
+		Set: []store.Write{
+			{
+				Key:   keys.Lead,
+				Value: value,
+				Lease: lease,
+			},
+			{
+				Key:   keys.Epoch,
+				Value: value,
+			},
+		},
+	})
+	if errors.Is(err, store.ErrUnknown) {
+		return a.readBack(ctx, result, err)
+	}
+	return result, err
+}
+
+// readBack finds out whether a write whose answer was lost has taken effect:
+// the lead key then has the lease that only this attempt was granted. Errors:
+// unknown if it has not, or if the store cannot tell.
+func (a *acquisition) readBack(ctx context.Context, result *acquisitionResult, unknown error) (*acquisitionResult, error) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	item, err := a.leader.config.Store.Get(limited, a.leader.config.Keys.Lead)
+	if err != nil || item.Lease != result.lease {
+		return nil, unknown
+	}
+	result.token = item.Revision
+	return result, nil
+}
+
+// load reads the roster, the learned state, the jobs and their progress.
+func (a *acquisition) load(ctx context.Context, result *acquisitionResult) error {
+	client, keys := a.leader.config.Store, &a.leader.config.Keys
+	roster, err := client.Get(ctx, keys.Roster)
+	if err == nil {
+		err = cbor.Unmarshal(roster.Value, &result.roster)
+	}
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return fmt.Errorf("read key %s: %w", keys.Roster, err)
+	}
+	sequence, err := client.Get(ctx, keys.Sequence)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return fmt.Errorf("read key %s: %w", keys.Sequence, err)
+	}
+	result.sequence = sequence.Revision
+	learned, err := client.Get(ctx, keys.Learned)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return fmt.Errorf("read key %s: %w", keys.Learned, err)
+	}
+	result.learned = decodeLearned(learned.Value)
+	listing, err := a.readAll(ctx, keys.work)
+	if err != nil {
+		return err
+	}
+	result.revision = listing.Revision
+	result.jobs, result.cancels, result.createRevisions = nil, nil, map[string]int64{}
+	for _, item := range listing.Items {
+		result.addItem(keys, item)
+	}
+	states, err := a.readAll(ctx, keys.state)
+	if err != nil {
+		return err
+	}
+	result.progress = make(map[string]*work.Progress, len(states.Items))
+	for _, item := range states.Items {
+		progress, err := work.DecodeProgress(item.Value)
+		if err != nil {
+			klog.ErrorS(err, "progress record cannot be read", "key", item.Key, "revision", item.Revision)
+			continue
+		}
+		result.progress[item.Key[len(keys.state):]] = progress
+	}
+	return nil
+}
+
+// readAll reads all keys under a prefix. A failed page is read again until the
+// context ends.
+func (a *acquisition) readAll(ctx context.Context, prefix string) (store.Listing, error) {
+	reader := store.NewReader(a.leader.config.Store, prefix)
+	for {
+		listing, err := reader.Read(ctx)
+		if err == nil {
+			return listing, nil
+		}
+		select {
+		case <-ctx.Done():
+			return listing, fmt.Errorf("list keys under %s: %w", prefix, err)
+		case <-time.After(pageRetryGap):
+		}
+	}
+}
+
+// addItem adds the job or cancellation that an item holds; other items are
+// ignored.
+func (r *acquisitionResult) addItem(keys *Keys, item store.Item) {
+	job, cancelled := keys.decodeItem(item)
+	switch {
+	case cancelled != "":
+		r.cancels = append(r.cancels, cancelled)
+	case job != nil:
+		r.jobs = append(r.jobs, job)
+		r.createRevisions[job.ID] = item.CreateRevision
+	}
+}
--- /dev/null
+++ b/internal/process/leader/loads.go
@@ -0,0 +1,115 @@
+package leader
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+
+	"mustardreach.example/mustardreach/internal/process/shard"
+	"mustardreach.example/mustardreach/internal/process/store"
+)
+
+// publishedLoad is the load of a shard and when it was read.
+type publishedLoad struct {
+	services map[string]shard.Load
+	readAt   time.Time
+}
+
+// observeLoads updates the loads of other shards from a view.
+func (m *moves) observeLoads(view store.View, now time.Time) {
+	for _, item := range view.Items {
+		m.observeLoad(item, now)
+	}
+	for _, event := range view.Events {
+		if event.Removed {
+			if number, err := strconv.Atoi(strings.TrimPrefix(event.Key, prefixLoads)); err == nil {
+				delete(m.loads, number)
+			}
+			continue
+		}
+		m.observeLoad(event.Item, now)
+	}
+}
+
+func (m *moves) observeLoad(item store.Item, now time.Time) {
+	number, err := strconv.Atoi(strings.TrimPrefix(item.Key, prefixLoads))
+	var services map[string]shard.Load
+	if err == nil {
+		err = cbor.Unmarshal(item.Value, &services)
+	}
+	if err != nil {
+		klog.ErrorS(err, "load of a shard cannot be read", "key", item.Key, "revision", item.Revision)
+		return
+	}
+	m.loads[number] = publishedLoad{
+		services: services,
+		readAt:   now,
+	}
+}
+
+// byService returns the loads that are recent enough, by service and shard.
+func (m *moves) byService(own map[string]shard.Load, now time.Time) map[string]map[int]shard.Load {
+	out := map[string]map[int]shard.Load{}
+	add := func(number int, services map[string]shard.Load) {
+		for service, load := range services {
+			if out[service] == nil {
+				out[service] = map[int]shard.Load{}
+			}
+			out[service][number] = load
+		}
+	}
+	for number, published := range m.loads {
+		if now.Sub(published.readAt) <= loadAge {
+			add(number, published.services)
+		}
+	}
+	add(m.term.leader.config.Shard, own)
+	return out
+}
+
+// publish writes the load under the lease of the lead key, so that it disappears
+// with the leadership. It is advisory: no condition and no retry.
+func (m *moves) publish(own map[string]shard.Load) {
+	if m.publishing {
+		return
+	}
+	value, err := cbor.Marshal(own)
+	if err != nil {
+		klog.ErrorS(err, "load cannot be encoded")
+		return
+	}
+	m.publishing = true
+	call := &publication{
+		moves: m,
+		commit: store.Commit{
+			Set: []store.Write{
+				{
+					Key:   prefixLoads + strconv.Itoa(m.term.leader.config.Shard),
+					Value: value,
+					Lease: m.term.lease,
+				},
+			},
+		},
+	}
+	go call.run(m.term.ctx)
+}
+
+// publication is one write of the load in flight.
+type publication struct {
+	moves  *moves
+	commit store.Commit
+}
+
+func (p *publication) run(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := p.moves.term.leader.config.Store.Commit(limited, p.commit)
+	if err != nil {
+		klog.V(1).InfoS("load not published", "err", err)
+	}
+	p.moves.term.post(func(time.Time) { p.moves.publishing = false })
+}
--- a/internal/process/leader/moves.go
+++ b/internal/process/leader/moves.go
@@ -1,17 +1,13 @@
 package leader
 
 import (
-	"context"
 	"errors"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
 	"mustardreach.example/mustardreach/internal/process/schedule"
-	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/process/store"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
@@ -34,12 +30,6 @@
 	publishing, probing bool
 }
 
-// publishedLoad is the load of a shard and when it was read.
-type publishedLoad struct {
-	services map[string]shard.Load
-	readAt   time.Time
-}
-
 func newMoves(t *term, result *acquisitionResult) moves {
 	return moves{
 		term:      t,
@@ -48,38 +38,6 @@
 	}
 }
 
-// observeLoads updates the loads of other shards from a view.
-func (m *moves) observeLoads(view store.View, now time.Time) {
-	for _, item := range view.Items {
-		m.observeLoad(item, now)
-	}
-	for _, event := range view.Events {
-		if event.Removed {
-			if number, err := strconv.Atoi(strings.TrimPrefix(event.Key, prefixLoads)); err == nil {
-				delete(m.loads, number)
-			}
-			continue
-		}
-		m.observeLoad(event.Item, now)
-	}
-}
-
-func (m *moves) observeLoad(item store.Item, now time.Time) {
-	number, err := strconv.Atoi(strings.TrimPrefix(item.Key, prefixLoads))
-	var services map[string]shard.Load
-	if err == nil {
-		err = cbor.Unmarshal(item.Value, &services)
-	}
-	if err != nil {
-		klog.ErrorS(err, "load of a shard cannot be read", "key", item.Key, "revision", item.Revision)
-		return
-	}
-	m.loads[number] = publishedLoad{
-		services: services,
-		readAt:   now,
-	}
-}
-
 // balance publishes this shard's load and moves jobs at intervals.
 func (m *moves) balance(now time.Time) {
 	config := &m.term.leader.config
@@ -99,69 +57,6 @@
 	m.send(m.term.leader.board.Moves(config.Shard, m.byService(own, now), now))
 }
 
-// byService returns the loads that are recent enough, by service and shard.
-func (m *moves) byService(own map[string]shard.Load, now time.Time) map[string]map[int]shard.Load {
-	out := map[string]map[int]shard.Load{}
-	add := func(number int, services map[string]shard.Load) {
-		for service, load := range services {
-			if out[service] == nil {
-				out[service] = map[int]shard.Load{}
-			}
-			out[service][number] = load
-		}
-	}
-	for number, published := range m.loads {
-		if now.Sub(published.readAt) <= loadAge {
-			add(number, published.services)
-		}
-	}
-	add(m.term.leader.config.Shard, own)
-	return out
-}
-
-// publish writes the load under the lease of the lead key, so that it disappears
-// with the leadership. It is advisory: no condition and no retry.
-func (m *moves) publish(own map[string]shard.Load) {
-	if m.publishing {
-		return
-	}
-	value, err := cbor.Marshal(own)
-	if err != nil {
-		klog.ErrorS(err, "load cannot be encoded")
-		return
-	}
-	m.publishing = true
-	call := &publication{
-		moves: m,
-		commit: store.Commit{
-			Set: []store.Write{
-				{
-					Key:   prefixLoads + strconv.Itoa(m.term.leader.config.Shard),
-					Value: value,
-					Lease: m.term.lease,
-				},
-			},
-		},
-	}
-	go call.run(m.term.ctx)
-}
-
-// publication is one write of the load in flight.
-type publication struct {
-	moves  *moves
-	commit store.Commit
-}
-
-func (p *publication) run(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := p.moves.term.leader.config.Store.Commit(limited, p.commit)
-	if err != nil {
-		klog.V(1).InfoS("load not published", "err", err)
-	}
-	p.moves.term.post(func(time.Time) { p.moves.publishing = false })
-}
-
 // send commits the moves, a few jobs a commit.
 func (m *moves) send(chosen []schedule.Move) {
 	const entriesPerJob = 5
@@ -177,7 +72,7 @@
 		}
 		m.term.writer.add(&pendingCommit{
 			commit: commit,
-			done:   func(err error, _ time.Time) { m.sent(sent, err) },
+			done:   func(err error, now time.Time) { m.sent(sent, err, now) },
 		})
 	}
 }
@@ -208,12 +103,12 @@
 }
 
 // sent handles the outcome of a commit of moves.
-func (m *moves) sent(batch []schedule.Move, err error) {
+func (m *moves) sent(batch []schedule.Move, err error, now time.Time) {
 	if errors.Is(err, store.ErrUnknown) {
 		m.unsettled = append(m.unsettled, batch...)
 		return
 	}
-	m.finish(batch, err == nil, err)
+	m.finish(batch, err == nil, err, now)
 }
 
 // probe finds out what became of moves without an answer, by a commit that is
@@ -236,17 +131,17 @@
 	}
 	m.term.writer.add(&pendingCommit{
 		commit: commit,
-		done:   func(err error, _ time.Time) { m.probed(batch, err) },
+		done:   func(err error, now time.Time) { m.probed(batch, err, now) },
 	})
 }
 
-func (m *moves) probed(batch []schedule.Move, err error) {
+func (m *moves) probed(batch []schedule.Move, err error, now time.Time) {
 	m.probing = false
 	m.unsettled = m.unsettled[len(batch):]
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
-		m.finish(batch, false, nil)
+		m.finish(batch, false, nil, now)
 	case errors.As(err, &conflict):
 		present := map[string]bool{}
 		for _, item := range conflict.Items {
@@ -256,7 +151,7 @@
 			if present[m.term.keys().Job(move.Job.ID)] {
 				m.unsettled = append(m.unsettled, move)
 			} else {
-				m.finish([]schedule.Move{move}, true, nil)
+				m.finish([]schedule.Move{move}, true, nil, now)
 			}
 		}
 	default:
@@ -264,11 +159,12 @@
 	}
 }
 
-func (m *moves) finish(batch []schedule.Move, moved bool, err error) {
+func (m *moves) finish(batch []schedule.Move, moved bool, err error, now time.Time) {
 	board := m.term.leader.board
 	for _, move := range batch {
 		if moved {
 			board.Departed(move.Job.ID)
+			m.term.removed.add(move.Job.ID, m.revisions[move.Job.ID], now)
 			delete(m.revisions, move.Job.ID)
 			m.term.leader.config.Counts.Add("jobs_moved", 1)
 		} else {
--- a/internal/process/leader/moves_test.go
+++ b/internal/process/leader/moves_test.go
@@ -189,3 +189,45 @@
 		Job: "a",
 	}))
 }
+
+// A listing that takes long may hold the record of a job that has moved
+// meanwhile, or of one that has ended and was deleted. The job must not run here
+// again.
+func TestStaleListingBringsNoJobBack(t *testing.T) {
+	s := newSite(t)
+	group := s.startGroup(t.Context(), "recife-1", twoShards)
+	require.Eventually(t, func() bool { return leads(group) == 2 }, waitTimeout, 5*time.Millisecond)
+	s.submitLabelled("a")
+	stale, err := s.store.Client().Get(t.Context(), KeysOf(0, 2).Job("a"))
+	require.NoError(t, err)
+	s.waitCompletedIn([]*Group{group}, 1, "a")
+	s.relabel("w0", "r1") // shard 0 could run the job now
+	forgotten := make(chan store.Item, 1)
+	source, target := group.leaders[0], group.leaders[1]
+	target.post(func(now time.Time) {
+		item, err := s.store.Client().Get(t.Context(), KeysOf(1, 2).Job("a"))
+		assert.NoError(t, err)
+		target.term.deleteOldJobs(now.Add(time.Hour))
+		forgotten <- item
+	})
+	item := <-forgotten
+	require.Eventually(t, func() bool { return !groupState(group, 1, "a").Known }, waitTimeout, 5*time.Millisecond)
+	source.post(func(now time.Time) {
+		source.term.observeWork(store.View{
+			Snapshot: true,
+			Items:    []store.Item{stale},
+		}, now)
+	})
+	target.post(func(now time.Time) {
+		target.term.observeWork(store.View{
+			Snapshot: true,
+			Items:    []store.Item{item},
+		}, now)
+	})
+	time.Sleep(balanceInterval)
+	assert.Equal(t, 1, s.workers.started(work.TaskKey{
+		Job: "a",
+	}))
+	assert.False(t, groupState(group, 0, "a").Known)
+	assert.False(t, groupState(group, 1, "a").Known)
+}
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -169,7 +169,9 @@
 		return
 	}
 	commit := store.Commit{}
+	t.removed.prune(now)
 	for _, id := range ids {
+		t.removed.add(id, t.moves.revisions[id], now)
 		delete(t.moves.revisions, id)
 		commit.Delete = append(commit.Delete, t.keys().Job(id), t.keys().Cancel(id), t.keys().State(id), MovedKey(id))
 	}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -53,6 +53,7 @@
 	summarisedAt    time.Time
 	waking          bool
 	moves           moves
+	removed         removedJobs
 }
 
 func (t *term) keys() *Keys {
@@ -74,6 +75,7 @@
 		listings:     map[string]schedule.Listing{},
 		listFailedAt: now,
 		links:        map[string]*link{},
+		removed:      removedJobs{},
 	}
 	t.writer = writer{
 		term:     t,
@@ -230,6 +232,9 @@
 	if job == nil {
 		return
 	}
+	if t.removed.covers(job.ID, item.Revision) {
+		return
+	}
 	t.moves.revisions[job.ID] = item.Revision
 	klog.InfoS("job seen", "job", job.ID, "queue", job.Queue, "revision", item.Revision)
 	t.leader.board.AddJob(job, nil, item.CreateRevision < t.token, now, t.leader.config.TimeOfDay())
