--- a/internal/process/command/shards_test.go
+++ b/internal/process/command/shards_test.go
@@ -13,7 +13,9 @@
 
 func TestPrintShards(t *testing.T) {
 	out := &bytes.Buffer{}
-	require.NoError(t, (&session{out: out}).printShards([]leader.ShardStatus{
+	require.NoError(t, (&session{
+		out: out,
+	}).printShards([]leader.ShardStatus{
 		{
 			Shard: 0,
 			Host:  "recife-1",
--- a/internal/process/leader/layout_test.go
+++ b/internal/process/leader/layout_test.go
@@ -95,14 +95,44 @@
 		waited          time.Duration
 		want            bool
 	}{
-		"first read":             {entries: 1100, before: -1},
-		"grows":                  {entries: 1100, before: 900, waited: 6 * time.Second},
-		"hardly grows":           {entries: 1100, before: 1095, want: true},
-		"the same":               {entries: 48, before: 48, want: true},
-		"grows for too long":     {entries: 1100, before: 900, waited: growthWait, want: true},
-		"empty at first":         {before: 0, waited: time.Second},
-		"empty for a long time":  {before: 0, waited: emptyWait, want: true},
-		"small, one more worker": {entries: 49, before: 48},
+		"first read": {
+			entries: 1100,
+			before:  -1,
+		},
+		"grows": {
+			entries: 1100,
+			before:  900,
+			waited:  6 * time.Second,
+		},
+		"hardly grows": {
+			entries: 1100,
+			before:  1095,
+			want:    true,
+		},
+		"the same": {
+			entries: 48,
+			before:  48,
+			want:    true,
+		},
+		"grows for too long": {
+			entries: 1100,
+			before:  900,
+			waited:  growthWait,
+			want:    true,
+		},
+		"empty at first": {
+			before: 0,
+			waited: time.Second,
+		},
+		"empty for a long time": {
+			before: 0,
+			waited: emptyWait,
+			want:   true,
+		},
+		"small, one more worker": {
+			entries: 49,
+			before:  48,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.Equal(t, test.want, listIsWhole(test.entries, test.before, test.waited))
--- a/internal/process/shard/balance_test.go
+++ b/internal/process/shard/balance_test.go
@@ -15,55 +15,110 @@
 	}{
 		"even": {
 			loads: map[int]Load{
-				0: {Capacity: 1000, Free: 500},
-				1: {Capacity: 1000, Free: 500},
+				0: {
+					Capacity: 1000,
+					Free:     500,
+				},
+				1: {
+					Capacity: 1000,
+					Free:     500,
+				},
 			},
 		},
 		"one has work waiting, the other room": {
 			loads: map[int]Load{
-				0: {Capacity: 1000, Waiting: 400},
-				1: {Capacity: 1000, Free: 400},
+				0: {
+					Capacity: 1000,
+					Waiting:  400,
+				},
+				1: {
+					Capacity: 1000,
+					Free:     400,
+				},
+			},
+			want: map[int]int64{
+				1: 400,
 			},
-			want: map[int]int64{1: 400},
 		},
 		"the emptier one gets more": {
 			loads: map[int]Load{
-				0: {Capacity: 1000, Waiting: 600},
-				1: {Capacity: 1000, Free: 600},
-				2: {Capacity: 1000, Free: 300},
+				0: {
+					Capacity: 1000,
+					Waiting:  600,
+				},
+				1: {
+					Capacity: 1000,
+					Free:     600,
+				},
+				2: {
+					Capacity: 1000,
+					Free:     300,
+				},
+			},
+			want: map[int]int64{
+				1: 500,
+				2: 200,
 			},
-			want: map[int]int64{1: 500, 2: 200},
 		},
 		"all are full alike": {
 			loads: map[int]Load{
-				0: {Capacity: 1000, Waiting: 900},
-				1: {Capacity: 1000, Waiting: 900},
+				0: {
+					Capacity: 1000,
+					Waiting:  900,
+				},
+				1: {
+					Capacity: 1000,
+					Waiting:  900,
+				},
 			},
 		},
 		"fillers go where cores are idle": {
 			loads: map[int]Load{
-				0: {Capacity: 1000, WaitingFillers: 300},
-				1: {Capacity: 1000, Unused: 300},
+				0: {
+					Capacity:       1000,
+					WaitingFillers: 300,
+				},
+				1: {
+					Capacity: 1000,
+					Unused:   300,
+				},
 			},
 			filler: true,
-			want:   map[int]int64{1: 300},
+			want: map[int]int64{
+				1: 300,
+			},
 		},
 		"fillers do not displace other work": {
 			loads: map[int]Load{
-				0: {Capacity: 1000, WaitingFillers: 300},
-				1: {Capacity: 1000, Unused: 300},
+				0: {
+					Capacity:       1000,
+					WaitingFillers: 300,
+				},
+				1: {
+					Capacity: 1000,
+					Unused:   300,
+				},
 			},
 		},
 		"a shard without workers passes all on": {
 			loads: map[int]Load{
-				0: {Waiting: 100},
-				1: {Capacity: 1000, Free: 400},
+				0: {
+					Waiting: 100,
+				},
+				1: {
+					Capacity: 1000,
+					Free:     400,
+				},
+			},
+			want: map[int]int64{
+				1: 100,
 			},
-			want: map[int]int64{1: 100},
 		},
 		"nobody has workers": {
 			loads: map[int]Load{
-				0: {Waiting: 100},
+				0: {
+					Waiting: 100,
+				},
 			},
 		},
 	} {
--- a/internal/process/shard/layout_test.go
+++ b/internal/process/shard/layout_test.go
@@ -28,12 +28,30 @@
 	for name, test := range map[string]struct {
 		workers, shards int
 	}{
-		"no worker":        {workers: 0, shards: 1},
-		"small fleet":      {workers: 48, shards: 1},
-		"largest solo":     {workers: maxWorkers, shards: 1},
-		"hundreds":         {workers: 640, shards: 2},
-		"eleven hundred":   {workers: 1100, shards: 3},
-		"several thousand": {workers: 4000, shards: 10},
+		"no worker": {
+			workers: 0,
+			shards:  1,
+		},
+		"small fleet": {
+			workers: 48,
+			shards:  1,
+		},
+		"largest solo": {
+			workers: maxWorkers,
+			shards:  1,
+		},
+		"hundreds": {
+			workers: 640,
+			shards:  2,
+		},
+		"eleven hundred": {
+			workers: 1100,
+			shards:  3,
+		},
+		"several thousand": {
+			workers: 4000,
+			shards:  10,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.Equal(t, test.shards, Plan(fleet(test.workers, 5)).Shards)
