--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -344,16 +344,3 @@
 		t.leader.post(func(time.Time) { t.waking = false })
 	})
 }
-
-// summarise logs the state of the schedule once per summaryInterval.
-func (t *term) summarise(now time.Time) {
-	if now.Sub(t.summarisedAt) < summaryInterval {
-		return
-	}
-	t.summarisedAt = now
-	summary := t.leader.board.Summary(now)
-	klog.InfoS("schedule", "shard", t.leader.config.Shard, "token", t.token, "open", summary.Open, "waiting", summary.Waiting, "running", summary.Running,
-		"fillers", summary.Fillers, "serving", summary.Serving, "workers", summary.Workers, "capacity", summary.Capacity,
-		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare,
-		"events", len(t.leader.events), "orders", len(t.waiting))
-}
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -12,6 +12,9 @@
 	// millicores.
 	Workers                     int
 	Capacity, Allocated, Unused int64
+	// Delayed counts the waiting tasks of inherited jobs that may not start until
+	// all workers are accounted for; they are part of Waiting.
+	Delayed int
 	// Throttled is the number of throttled fillers.
 	Throttled int
 	// MemoryShare is the claimed part of the memory.
@@ -24,10 +27,15 @@
 		Open: len(b.open),
 	}
 	for _, j := range b.open {
+		mayStart := b.mayStart(j, now)
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
-				if occ.ready(step, now) {
-					out.Waiting += step.waiting
+				if !occ.ready(step, now) {
+					continue
+				}
+				out.Waiting += step.waiting
+				if !mayStart {
+					out.Delayed += step.waiting
 				}
 			}
 		}
--- /dev/null
+++ b/internal/process/schedule/takeover.go
@@ -0,0 +1,72 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// clockDrift is the fraction by which a worker's steady clock is allowed to run
+// slower than this host's. Half of it is margin.
+const clockDrift = 0.04
+
+// earlierLeaseEnd is when every run that an earlier leader may have started or
+// extended is over on a worker that has not reported to this one.
+func (b *Board) earlierLeaseEnd() time.Time {
+	return b.termStart.Add(b.config.ActTerm).Add(b.longestLease())
+}
+
+// longestLease is the longest time from a call that extends a worker's leases
+// to the end of all its runs if no other call follows.
+func (b *Board) longestLease() time.Duration {
+	return b.config.LeaseTerm + time.Duration(float64(b.config.LeaseTerm)*clockDrift) + b.config.StopGrace
+}
+
+// settled reports whether every run that an earlier leader started on the
+// workers of a service is known or has ended.
+func (b *Board) settled(service string, now time.Time) bool {
+	for _, w := range b.workers {
+		if w.Service == service && !b.accountedFor(w, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// accountedFor reports whether every run that an earlier leader started on the
+// worker is known or has ended.
+func (b *Board) accountedFor(w *workerState, now time.Time) bool {
+	return w.reportedToken == b.token || !now.Before(w.leaseEnd) || b.hasLeft(w)
+}
+
+// UnsettledWorker is a worker that may have runs of an earlier leader which
+// this one does not know.
+type UnsettledWorker struct {
+	ID string
+	// Listed, Draining, Closed and Reachable are what is known of it: whether the
+	// discovery list has it, whether it drains, whether it has closed a
+	// connection, and whether it answers.
+	Listed, Draining, Closed, Reachable bool
+	// Remaining is the time until its runs are certainly over.
+	Remaining time.Duration
+}
+
+// Unsettled returns the workers that delay inherited jobs, by id.
+func (b *Board) Unsettled(now time.Time) []UnsettledWorker {
+	var out []UnsettledWorker
+	for id, w := range b.workers {
+		if b.accountedFor(w, now) {
+			continue
+		}
+		out = append(out, UnsettledWorker{
+			ID:        id,
+			Listed:    w.listed,
+			Draining:  w.Draining,
+			Closed:    w.closed,
+			Reachable: w.reachable,
+			Remaining: w.leaseEnd.Sub(now),
+		})
+	}
+	slices.SortFunc(out, func(a, c UnsettledWorker) int { return cmp.Compare(a.ID, c.ID) })
+	return out
+}
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -153,22 +153,6 @@
 	return out
 }
 
-// clockDrift is the fraction by which a worker's steady clock is allowed to run
-// slower than this host's. Half of it is margin.
-const clockDrift = 0.04
-
-// earlierLeaseEnd is when every run that an earlier leader may have started or
-// extended is over on a worker that has not reported to this one.
-func (b *Board) earlierLeaseEnd() time.Time {
-	return b.termStart.Add(b.config.ActTerm).Add(b.longestLease())
-}
-
-// longestLease is the longest time from a call that extends a worker's leases
-// to the end of all its runs if no other call follows.
-func (b *Board) longestLease() time.Duration {
-	return b.config.LeaseTerm + time.Duration(float64(b.config.LeaseTerm)*clockDrift) + b.config.StopGrace
-}
-
 // LeaseExtended records that a call which extends the worker's leases is being
 // sent.
 func (b *Board) LeaseExtended(id string, now time.Time) {
@@ -224,14 +208,3 @@
 		}
 	}
 }
-
-// settled reports whether every run that an earlier leader started on the
-// workers of a service is known or has ended.
-func (b *Board) settled(service string, now time.Time) bool {
-	for _, w := range b.workers {
-		if w.Service == service && w.reportedToken != b.token && now.Before(w.leaseEnd) && !b.hasLeft(w) {
-			return false
-		}
-	}
-	return true
-}
