--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"fmt"
 	"net/netip"
@@ -40,6 +41,8 @@
 	startedAt map[work.TaskKey]string
 	// forgotten counts the run ends that were acknowledged.
 	forgotten int
+	// gone workers answer no poll.
+	gone map[string]bool
 	// polledAt is when the last poll came, leasedAt when the last one that
 	// requested a lease did.
 	polledAt, leasedAt time.Time
@@ -50,6 +53,7 @@
 		tokens: map[string]int64{},
 		ended:  map[string][]schedule.EndedTask{},
 		starts: map[work.TaskKey]int{},
+		gone:   map[string]bool{},
 
 		startedAt: map[work.TaskKey]string{},
 	}
@@ -71,6 +75,9 @@
 func (f *fakeWorkers) poll(_ context.Context, target Target, poll Poll) (schedule.Inventory, time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.gone[target.ID] {
+		return schedule.Inventory{}, 0, errors.New("no route to worker")
+	}
 	if poll.Token < f.tokens[target.ID] {
 		return schedule.Inventory{}, 0, ErrFenced
 	}
