--- a/internal/process/leader/acquisition.go
+++ b/internal/process/leader/acquisition.go
@@ -35,7 +35,10 @@
 	// resumed is set if nobody else has led since formerToken. Nothing is
 	// loaded then.
 	resumed bool
-	jobs    []*work.Job
+	// placements is set if the progress records have the placements of all
+	// long-running tasks.
+	placements bool
+	jobs       []*work.Job
 	// createRevisions holds the create revision of each job's record, which is
 	// never written again.
 	createRevisions map[string]int64
@@ -84,6 +87,10 @@
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		return nil, fmt.Errorf("read key %s: %w", keys.Epoch, err)
 	}
+	placements, err := a.readPlacements(limited, epoch)
+	if err != nil {
+		return nil, err
+	}
 	lease, err := client.Grant(limited, leaseTTL)
 	if err != nil {
 		return nil, fmt.Errorf("grant a lease for key %s: %w", keys.Lead, err)
@@ -92,12 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	result := &acquisitionResult{
-		lease:   lease,
-		sent:    a.leader.config.Clock(),
-		resumed: a.formerToken != 0 && epoch.Revision == a.formerToken,
-	}
-	result.token, err = client.Commit(limited, store.Commit{
+	commit := store.Commit{
 		If: []store.Condition{
 			{
 				Key:      keys.Lead,
@@ -119,7 +121,21 @@
 				Value: value,
 			},
 		},
-	})
+	}
+	if placements {
+		write, err := placementsWrite(keys, 0)
+		if err != nil {
+			return nil, err
+		}
+		commit.Set = append(commit.Set, write)
+	}
+	result := &acquisitionResult{
+		lease:      lease,
+		sent:       a.leader.config.Clock(),
+		resumed:    a.formerToken != 0 && epoch.Revision == a.formerToken,
+		placements: placements,
+	}
+	result.token, err = client.Commit(limited, commit)
 	if errors.Is(err, store.ErrUnknown) {
 		return a.readBack(ctx, result, err)
 	}
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -175,6 +175,9 @@
 	// rosterPruneInterval is the minimum time between two commits that only
 	// remove workers from the roster.
 	rosterPruneInterval = time.Second
+	// placementsInterval is how often a leader that took over from one without
+	// placements checks whether all are recorded.
+	placementsInterval = time.Second
 	// learnedInterval is how often the learned state is saved. It is the most
 	// that is lost when a leader dies.
 	learnedInterval = 2 * time.Second
--- a/internal/process/leader/keys.go
+++ b/internal/process/leader/keys.go
@@ -30,6 +30,9 @@
 	// Sequence is written by every commit of a leader, Roster before a worker
 	// is used, and Learned holds the learned state of the schedule.
 	Sequence, Roster, Learned string
+	// Placements names the newest leader whose progress records have the
+	// placements of all long-running tasks.
+	Placements string
 	// work is the prefix of all that a leader watches: jobs, cancellations and
 	// one of Lead and Epoch, so that the end of a term is seen before any job
 	// that was submitted after it.
@@ -41,24 +44,26 @@
 func KeysOf(number, shards int) Keys {
 	if shards <= 1 {
 		return Keys{
-			Lead:     prefixRoot + "work/lead",
-			Epoch:    prefixRoot + "epoch",
-			Sequence: prefixRoot + "sequence",
-			Roster:   prefixRoot + "roster",
-			Learned:  prefixRoot + "learned",
-			work:     prefixRoot + "work/",
-			state:    prefixRoot + "state/",
+			Lead:       prefixRoot + "work/lead",
+			Epoch:      prefixRoot + "epoch",
+			Sequence:   prefixRoot + "sequence",
+			Roster:     prefixRoot + "roster",
+			Learned:    prefixRoot + "learned",
+			Placements: prefixRoot + "placements",
+			work:       prefixRoot + "work/",
+			state:      prefixRoot + "state/",
 		}
 	}
 	root := prefixRoot + "shard/" + strconv.Itoa(number) + "/"
 	return Keys{
-		Lead:     prefixLeads + strconv.Itoa(number),
-		Epoch:    root + "work/epoch",
-		Sequence: root + "sequence",
-		Roster:   root + "roster",
-		Learned:  root + "learned",
-		work:     root + "work/",
-		state:    root + "state/",
+		Lead:       prefixLeads + strconv.Itoa(number),
+		Epoch:      root + "work/epoch",
+		Sequence:   root + "sequence",
+		Roster:     root + "roster",
+		Learned:    root + "learned",
+		Placements: root + "placements",
+		work:       root + "work/",
+		state:      root + "state/",
 	}
 }
 
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -145,6 +145,7 @@
 	allowed := now.Before(l.term.actUntil)
 	l.term.execute(l.board.Decide(now, allowed), now)
 	l.term.saveProgress(now)
+	l.term.savePlacements(now)
 	l.term.deleteOldJobs(now)
 	l.term.saveLearned(now)
 	l.term.moves.balance(now)
--- /dev/null
+++ b/internal/process/leader/placements.go
@@ -0,0 +1,81 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+
+	"mustardreach.example/mustardreach/internal/process/store"
+)
+
+// placementsState tells whether the progress records of this term and all
+// earlier ones have the placements of all long-running tasks. They have not
+// after a term of an earlier build, which records none.
+type placementsState struct {
+	complete bool
+	saving   bool
+	triedAt  time.Time
+}
+
+// readPlacements reports whether the records are complete up to the leader that
+// wrote the epoch. Errors: those of the store.
+func (a *acquisition) readPlacements(ctx context.Context, epoch store.Item) (bool, error) {
+	key := a.leader.config.Keys.Placements
+	item, err := a.leader.config.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrAbsent) {
+		return epoch.Revision == 0, nil // without an earlier leader nothing runs
+	}
+	if err != nil {
+		return false, fmt.Errorf("read key %s: %w", key, err)
+	}
+	var token int64
+	if err := cbor.Unmarshal(item.Value, &token); err != nil {
+		klog.ErrorS(err, "placements key cannot be read", "revision", item.Revision)
+		return false, nil
+	}
+	// A leader writes the key along with its lead key, or its token later.
+	return epoch.Revision != 0 && (item.Revision == epoch.Revision || token == epoch.Revision), nil
+}
+
+// placementsWrite returns the write that says that the records are complete
+// under a token; zero stands for that of the commit itself.
+func placementsWrite(keys *Keys, token int64) (store.Write, error) {
+	value, err := cbor.Marshal(token)
+	if err != nil {
+		return store.Write{}, fmt.Errorf("encode key %s: %w", keys.Placements, err)
+	}
+	return store.Write{
+		Key:   keys.Placements,
+		Value: value,
+	}, nil
+}
+
+// savePlacements tells later leaders once the records of this term are complete.
+func (t *term) savePlacements(now time.Time) {
+	if t.placements.complete || t.placements.saving || t.unoccupied || now.Sub(t.placements.triedAt) < placementsInterval {
+		return
+	}
+	t.placements.triedAt = now
+	if !t.leader.board.PlacementsRecorded(now) {
+		return
+	}
+	write, err := placementsWrite(t.keys(), t.token)
+	if err != nil {
+		klog.ErrorS(err, "placements key cannot be written")
+		return
+	}
+	t.placements.saving = true
+	t.writer.add(&pendingCommit{
+		commit: store.Commit{
+			Set: []store.Write{write},
+		},
+		done: func(err error, _ time.Time) {
+			t.placements.saving, t.placements.complete = false, err == nil
+			klog.InfoS("placements complete", "token", t.token, "err", err)
+		},
+	})
+}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -48,6 +48,7 @@
 	progressSavedAt time.Time
 	jobsDeletedAt   time.Time
 	roster          rosterState
+	placements      placementsState
 	learned         learnedState
 	writer          writer
 	summarisedAt    time.Time
@@ -94,6 +95,10 @@
 		inherited := result.createRevisions[job.ID] < result.token
 		l.board.AddJob(job, result.progress[job.ID], inherited, now, l.config.TimeOfDay())
 	}
+	if result.placements {
+		l.board.TrustPlacements()
+		t.placements.complete = true
+	}
 	for _, id := range result.cancels {
 		l.board.Cancel(id, now)
 	}
@@ -111,6 +116,9 @@
 // resume continues the term under a new token, if nobody else led in between.
 func (t *term) resume(result *acquisitionResult) {
 	t.token, t.lease, t.unoccupied = result.token, result.lease, false
+	t.placements = placementsState{
+		complete: result.placements,
+	}
 	t.actUntil = result.sent.Add(ActTerm)
 }
 
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -75,6 +75,9 @@
 	estimates        *estimates
 	interference     *interference
 	effects          Effects
+	// unrecordedStarts are starts of long-running tasks whose placements are not
+	// in the store yet.
+	unrecordedStarts []unrecordedStart
 	// pendingRetries are starts to send again if their claims still hold.
 	pendingRetries []Start
 	// unsaved holds the jobs whose progress is newer than their record.
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -77,6 +77,24 @@
 	}
 }
 
+// save writes all unsaved progress.
+func save(board *Board) []Record {
+	records := board.Records(true, 100)
+	for _, record := range records {
+		board.Written(record.Job, record.Version, true)
+	}
+	return records
+}
+
+// decideAndSave returns the orders of a decision, with the starts of
+// long-running tasks, which follow once their placements are in the store.
+func decideAndSave(board *Board, now time.Time) Effects {
+	effects := board.Decide(now, true)
+	save(board)
+	effects.Starts = append(effects.Starts, board.Decide(now, true).Starts...)
+	return effects
+}
+
 // A worker repeats a failed end to the next leader. It must count as one
 // failure: counted twice, a job was shown as failed after a single failure.
 func TestFailureIsCountedOnceAcrossLeaders(t *testing.T) {
@@ -258,7 +276,7 @@
 				board.AddJob(spec, nil, false, testStart, testStart)
 			}
 			got := map[string]int{}
-			for _, start := range board.Decide(testStart, true).Starts {
+			for _, start := range decideAndSave(board, testStart).Starts {
 				got[start.Worker]++
 			}
 			assert.Equal(t, tt.want, got)
@@ -328,7 +346,7 @@
 	step.LongRunning = true
 	board.AddJob(testJob("a", "quotes", step), nil, false, testStart, testStart)
 	board.AddJob(testJob("b", "plans", tasks(1, 1000)), nil, false, testStart, testStart)
-	accept(board, board.Decide(testStart, true), testStart)
+	accept(board, decideAndSave(board, testStart), testStart)
 	for _, w := range board.workers {
 		w.Draining, w.Remaining = true, 3*time.Second
 	}
@@ -467,7 +485,7 @@
 			now := testStart.Add(tt.waited)
 			board.AddJob(testJob("quick", "quotes", tasks(1, 1000)), nil, false, now, now)
 			board.LimitStarts(1)
-			starts := board.Decide(now, true).Starts
+			starts := decideAndSave(board, now).Starts
 			require.Len(t, starts, 1)
 			assert.Equal(t, tt.first, starts[0].Key.Job)
 		})
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -137,7 +137,7 @@
 		b.breakGang(step)
 		return
 	}
-	if now.Before(step.tasks[0].notBefore) {
+	if now.Before(step.tasks[0].notBefore) || !b.mayStartAll(j, step, now) {
 		return
 	}
 	run, everClaimed := b.nextRun(), j.everClaimed
@@ -160,8 +160,7 @@
 	b.startsLeft -= len(step.tasks)
 	checkpoint := gangCheckpoint(step)
 	for i, t := range step.tasks {
-		chosen[i].claims[t.key].unanswered++
-		b.effects.Starts = append(b.effects.Starts, Start{
+		b.sendStart(j, step, Start{
 			Worker:     chosen[i].ID,
 			Key:        t.key,
 			Run:        run,
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -15,6 +15,7 @@
 	b.Expire(now)
 	if allowed && !b.fenced {
 		b.retryStarts()
+		b.sendRecordedStarts(now)
 	}
 	b.lowUtilization = b.allocatedShare() < lowUtilizationBound
 	b.drain(now)
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -129,8 +129,12 @@
 		b.stop(w.ID, row.Key, row.Run, "not_wanted")
 		return nil
 	}
+	unrecorded := step.spec.LongRunning && t.lastWorker != w.ID
 	held := b.claim(w, j, step, t, row.Run, now)
 	held.confirmed = true
+	if unrecorded {
+		b.markChanged(j)
+	}
 	j.progress.Started = true
 	return held
 }
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -36,6 +36,11 @@
 	notBefore time.Time
 	// endedAt is when the last run ended.
 	endedAt time.Time
+	// located is set if no worker but lastWorker can have a run of the task, so
+	// that it need not wait until all workers have reported to a new leader.
+	// lastWorker is empty if the task was never started.
+	located    bool
+	lastWorker string
 }
 
 // stepState is one step of one occurrence.
@@ -76,6 +81,8 @@
 	fromEarlierTerm, everClaimed, departing bool
 	// balanced is set once a round of moves has left the job here.
 	balanced bool
+	// located is set if one of its tasks is.
+	located bool
 	// seen is when the job was added here.
 	seen time.Time
 	// attempts is the last known limit of attempts per task, zero for no limit.
@@ -98,8 +105,9 @@
 
 	// version rises with each change of the progress; durable is the newest
 	// version in the store, sent the newest version passed on to be written.
-	version, durable, sent int64
-	ended                  time.Time
+	// placed is the version of the newest placement that a start waits for.
+	version, durable, sent, placed int64
+	ended                          time.Time
 }
 
 // AddJob adds an accepted job from its record. timeOfDay is the wall clock time
@@ -185,6 +193,7 @@
 			for _, t := range step.tasks {
 				t.failures = slices.Clone(progress.Failures[number])
 				t.checkpoint = progress.SavedCheckpoints[number]
+				t.lastWorker = progress.Placements[number]
 				if number/8 < len(progress.Done) && progress.Done[number/8]&(1<<(number%8)) != 0 {
 					j.finish(occ, step, t)
 				}
@@ -213,6 +222,7 @@
 		Started:          j.progress.Started,
 		Failures:         map[int][]int64{},
 		SavedCheckpoints: map[int]string{},
+		Placements:       map[int]string{},
 	}
 	number, bits := 0, []byte{}
 	for _, occ := range j.occurrences {
@@ -229,6 +239,9 @@
 				if len(t.failures) > 0 && t.phase != done {
 					out.Failures[number] = slices.Clone(t.failures)
 				}
+				if step.spec.LongRunning && t.lastWorker != "" {
+					out.Placements[number] = t.lastWorker
+				}
 				number++
 			}
 		}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -12,8 +12,9 @@
 // place goes through the waiting jobs by rank and starts the tasks that fit.
 func (b *Board) place(now time.Time) {
 	candidates := make([]candidate, 0, len(b.open))
+	unsettled := b.unsettledServices(now)
 	for _, j := range b.open {
-		if j.left > j.claims && !j.departing && !b.held(j) && b.mayStart(j, now) {
+		if j.left > j.claims && !j.departing && !b.held(j) && (b.mayStart(j, unsettled) || j.located) {
 			candidates = append(candidates, candidate{
 				job:  j,
 				rank: b.rankOf(j, now),
@@ -43,21 +44,6 @@
 	}
 }
 
-// mayStart reports whether the job's tasks are certain not to be running
-// already.
-func (b *Board) mayStart(j *job, now time.Time) bool {
-	if j.inherited == 0 {
-		return true
-	}
-	if !b.settled(b.serviceOf(j), now) {
-		return false
-	}
-	if j.inherited == b.token {
-		j.inherited = 0
-	}
-	return true
-}
-
 // poolKey selects the workers of a service for a kind of job.
 type poolKey struct {
 	service     string
@@ -118,7 +104,7 @@
 		if b.startsLeft <= 0 {
 			return
 		}
-		if t.phase != waiting || now.Before(t.notBefore) {
+		if t.phase != waiting || now.Before(t.notBefore) || !b.mayStartTask(j, t, now) {
 			continue
 		}
 		w := b.chooseWorker(step, t, pool)
@@ -152,8 +138,8 @@
 
 func (b *Board) start(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) {
 	b.startsLeft--
-	b.claim(w, j, step, t, run, now).unanswered++
-	b.effects.Starts = append(b.effects.Starts, Start{
+	b.claim(w, j, step, t, run, now)
+	b.sendStart(j, step, Start{
 		Worker:     w.ID,
 		Key:        t.key,
 		Run:        run,
--- a/internal/process/schedule/records.go
+++ b/internal/process/schedule/records.go
@@ -8,17 +8,17 @@
 )
 
 // Records returns progress to be written, each version once unless its write
-// fails. Ends of jobs go first, and other progress is written along with them.
-// Without an end, progress is returned only if all is set.
+// fails. Ends of jobs go first, then placements that starts wait for, and other
+// progress is written along with them. Without an end or a placement, progress
+// is returned only if all is set.
 func (b *Board) Records(all bool, limit int) []Record {
 	ids := slices.SortedFunc(maps.Keys(b.unsaved), func(a, c string) int {
-		return cmp.Or(b.unsaved[c].compareEnds(b.unsaved[a]), cmp.Compare(a, c))
+		return cmp.Or(cmp.Compare(b.unsaved[c].urgency(), b.unsaved[a].urgency()), cmp.Compare(a, c))
 	})
 	var out []Record
 	for _, id := range ids {
 		j := b.unsaved[id]
-		urgent := j.progress.State.Final()
-		if len(out) == limit || len(out) == 0 && !urgent && !all {
+		if len(out) == limit || len(out) == 0 && j.urgency() == 0 && !all {
 			return out
 		}
 		j.sent = j.version
@@ -26,22 +26,22 @@
 		out = append(out, Record{
 			Job:      id,
 			Version:  j.version,
-			Urgent:   urgent,
+			Urgent:   j.progress.State.Final(),
 			Progress: j.snapshot(),
 		})
 	}
 	return out
 }
 
-// compareEnds orders ended jobs above open ones.
-func (j *job) compareEnds(other *job) int {
+// urgency orders records: the end of a job first, then placements.
+func (j *job) urgency() int {
 	switch {
-	case j.progress.State.Final() == other.progress.State.Final():
-		return 0
 	case j.progress.State.Final():
+		return 2
+	case j.placed > j.durable:
 		return 1
 	}
-	return -1
+	return 0
 }
 
 // Written records that a progress record is in the store, or that it must be
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -113,6 +113,8 @@
 	acknowledged map[work.TaskKey]bool
 	failed       map[work.TaskKey]int
 	next         int
+	// longRunning is set if some jobs are long-running.
+	longRunning bool
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -167,6 +169,7 @@
 		}
 		sim.board.AddJob(spec, progress, sim.created[id] < sim.token, sim.now, sim.now)
 	}
+	sim.board.TrustPlacements()
 	for _, id := range sim.cancels {
 		sim.board.Cancel(id, sim.now)
 	}
@@ -209,6 +212,10 @@
 		}
 		spec.Steps = append(spec.Steps, step)
 	}
+	if sim.longRunning && rapid.Bool().Draw(sim.t, "long running") {
+		spec.Steps = spec.Steps[:1]
+		spec.Steps[0].LongRunning = true
+	}
 	sim.specs[id] = spec
 	sim.created[id] = sim.token + 1
 	sim.board.AddJob(spec, nil, false, sim.now, sim.now)
@@ -250,8 +257,11 @@
 	for id, simWorker := range sim.workers {
 		require.Nil(sim.t, simWorker.running[start.Key], "%s is started while it runs on %s", start.Key, id)
 	}
-	require.False(sim.t, sim.acknowledged[start.Key], "%s is started after its end was acknowledged", start.Key)
 	spec := sim.specs[start.Key.Job]
+	if spec.LongRunning() {
+		return
+	}
+	require.False(sim.t, sim.acknowledged[start.Key], "%s is started after its end was acknowledged", start.Key)
 	attempts := testCatalog().Queues[spec.Queue].MaxAttempts
 	require.Less(sim.t, sim.failed[start.Key], attempts, "%s is started after its last attempt", start.Key)
 	for _, earlier := range spec.Steps[start.Key.Step].After {
@@ -494,6 +504,22 @@
 	})
 }
 
+// Leaders that trust the recorded placements of long-running tasks start them
+// before all workers have reported.
+func TestNoLongRunningTaskRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t)
+		sim.longRunning = true
+		for range 120 {
+			if sim.next < 6 && rapid.IntRange(0, 4).Draw(t, "submit") == 0 {
+				sim.submit()
+			}
+			sim.injectFault()
+			sim.tick()
+		}
+	})
+}
+
 // TestAllWorkEnds stops the faults after a while: every job must then end.
 func TestAllWorkEnds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -26,8 +26,9 @@
 	out := Summary{
 		Open: len(b.open),
 	}
+	unsettled := b.unsettledServices(now)
 	for _, j := range b.open {
-		mayStart := b.mayStart(j, now)
+		mayStart := b.mayStart(j, unsettled)
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
 				if !occ.ready(step, now) {
@@ -35,7 +36,7 @@
 				}
 				out.Waiting += step.waiting
 				if !mayStart {
-					out.Delayed += step.waiting
+					out.Delayed += b.delayed(j, step, now)
 				}
 			}
 		}
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -22,17 +22,65 @@
 	return b.config.LeaseTerm + time.Duration(float64(b.config.LeaseTerm)*clockDrift) + b.config.StopGrace
 }
 
-// settled reports whether every run that an earlier leader started on the
-// workers of a service is known or has ended.
-func (b *Board) settled(service string, now time.Time) bool {
+// unsettledServices returns the services with a worker that is not accounted
+// for.
+func (b *Board) unsettledServices(now time.Time) map[string]bool {
+	out := map[string]bool{}
 	for _, w := range b.workers {
-		if w.Service == service && !b.accountedFor(w, now) {
+		if !b.accountedFor(w, now) {
+			out[w.Service] = true
+		}
+	}
+	return out
+}
+
+// mayStart reports whether all tasks of the job are certain not to be running
+// already.
+func (b *Board) mayStart(j *job, unsettled map[string]bool) bool {
+	if j.inherited == 0 {
+		return true
+	}
+	if unsettled[b.serviceOf(j)] {
+		return false
+	}
+	j.inherited = 0
+	return true
+}
+
+// mayStartTask reports whether a task of a job that may not start as a whole is
+// certain not to be running already. A run that a worker reports to the new
+// leader is the only one: an earlier leader would have started another one only
+// after the end of this one.
+func (b *Board) mayStartTask(j *job, t *task, now time.Time) bool {
+	if j.inherited == 0 {
+		return true
+	}
+	w := b.workers[t.lastWorker]
+	return t.located && (w == nil || b.accountedFor(w, now))
+}
+
+// mayStartAll reports whether all tasks of a gang are certain not to be running
+// already.
+func (b *Board) mayStartAll(j *job, step *stepState, now time.Time) bool {
+	for _, t := range step.tasks {
+		if !b.mayStartTask(j, t, now) {
 			return false
 		}
 	}
 	return true
 }
 
+// delayed counts the waiting tasks of a step that may not start yet.
+func (b *Board) delayed(j *job, step *stepState, now time.Time) int {
+	count := 0
+	for _, t := range step.tasks {
+		if t.phase == waiting && !b.mayStartTask(j, t, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // accountedFor reports whether every run that an earlier leader started on the
 // worker is known or has ended.
 func (b *Board) accountedFor(w *workerState, now time.Time) bool {
--- a/internal/process/schedule/takeover_test.go
+++ b/internal/process/schedule/takeover_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"mustardreach.example/mustardreach/internal/request/work"
 )
 
 // addUnreachable adds a worker of an earlier term that does not answer.
@@ -38,3 +40,178 @@
 	assert.Empty(t, board.Unsettled(later))
 	assert.Zero(t, board.Summary(later).Delayed)
 }
+
+// watcher is a job of one long-running task, which has the key watcherKey.
+func watcher() *work.Job {
+	step := tasks(1, 1000)
+	step.LongRunning = true
+	return testJob("watcher", "quotes", step)
+}
+
+var watcherKey = work.TaskKey{
+	Job: "watcher",
+}
+
+// Worker w0 answers the new leader and w1 does not. The long-running task may be
+// on w1 only if it was last placed there.
+func TestOnlyItsLastWorkerDelaysALongRunningTask(t *testing.T) {
+	placedOn := func(id string) *work.Progress {
+		return &work.Progress{
+			Started:    true,
+			Placements: map[int]string{0: id},
+		}
+	}
+	tests := map[string]struct {
+		progress *work.Progress
+		// unrecorded is set if an earlier leader did not record placements.
+		unrecorded bool
+		// running is set if w0 reports the task, which is stopped then.
+		running bool
+		starts  int
+	}{
+		"never started": {
+			starts: 1,
+		},
+		"last on a worker that answers": {
+			progress: placedOn("w0"),
+			starts:   1,
+		},
+		"last on the worker that does not answer": {
+			progress: placedOn("w1"),
+		},
+		"last on a worker that no leader uses any more": {
+			progress: placedOn("w2"),
+			starts:   1,
+		},
+		"never started, as far as is recorded": {
+			unrecorded: true,
+		},
+		"last on a worker that answers, as far as is recorded": {
+			progress:   placedOn("w0"),
+			unrecorded: true,
+		},
+		"found running": {
+			unrecorded: true,
+			running:    true,
+			starts:     1,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			addUnreachable(board, "w1")
+			board.AddJob(watcher(), tt.progress, true, testStart, testStart)
+			if !tt.unrecorded {
+				board.TrustPlacements()
+			}
+			if tt.running {
+				const run = 7
+				board.ApplyReport("w0", Inventory{
+					Born: testBorn,
+					Running: []RunningTask{{
+						Key: watcherKey,
+						Run: run,
+					}},
+					Sent: testStart,
+				}, testStart)
+				board.ApplyReport("w0", Inventory{
+					Born: testBorn,
+					Ended: []EndedTask{{
+						Number: 1,
+						Key:    watcherKey,
+						Run:    run,
+						Ending: EndedStopped,
+					}},
+					Sent: testStart,
+				}, testStart)
+			}
+			assert.Len(t, decideAndSave(board, testStart).Starts, tt.starts)
+
+			later := board.earlierLeaseEnd().Add(time.Millisecond)
+			poll(board, "w0", later)
+			assert.Len(t, decideAndSave(board, later).Starts, 1-tt.starts, "all runs of earlier leaders are over")
+		})
+	}
+}
+
+// A successor trusts the record, so that a start must not overtake it.
+func TestLongRunningTaskStartsOnceItsPlacementIsSaved(t *testing.T) {
+	board := testBoard("w0", "w1")
+	board.AddJob(watcher(), nil, false, testStart, testStart)
+	assert.Empty(t, board.Decide(testStart, true).Starts)
+	records := board.Records(false, 10)
+	require.Len(t, records, 1, "a start waits for the record")
+	require.Len(t, records[0].Progress.Placements, 1)
+	board.Written("watcher", records[0].Version, false)
+	assert.Empty(t, board.Decide(testStart, true).Starts, "the write failed")
+	records = save(board)
+	require.Len(t, records, 1)
+	starts := board.Decide(testStart, true).Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, starts[0].Worker, records[0].Progress.Placements[0])
+}
+
+// Between the choice of a worker and the start there is a write to the store.
+func TestStartIsWithdrawnWhileItsPlacementIsSaved(t *testing.T) {
+	tests := map[string]func(board *Board, chosen *workerState){
+		"worker drains": func(_ *Board, chosen *workerState) {
+			chosen.Draining = true
+		},
+		"worker is out of reach": func(board *Board, chosen *workerState) {
+			board.MarkUnreachable(chosen.ID, testStart)
+		},
+		"zone is withdrawn": func(board *Board, _ *workerState) {
+			board.Evacuate(map[string]bool{"recife": true})
+		},
+		"job is cancelled": func(board *Board, _ *workerState) {
+			board.Cancel("watcher", testStart)
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0", "w1")
+			board.AddJob(watcher(), nil, false, testStart, testStart)
+			require.Empty(t, board.Decide(testStart, true).Starts)
+			chosen := board.workers[board.jobs["watcher"].occurrences[0].steps[0].tasks[0].worker]
+			change(board, chosen)
+			save(board)
+			for _, start := range board.Decide(testStart, true).Starts {
+				assert.NotEqual(t, chosen.ID, start.Worker)
+			}
+			assert.Empty(t, withPlacement(board, chosen.ID))
+		})
+	}
+}
+
+// withPlacement returns the starts on a worker that wait for a record.
+func withPlacement(board *Board, id string) []unrecordedStart {
+	var out []unrecordedStart
+	for _, next := range board.unrecordedStarts {
+		if next.start.Worker == id {
+			out = append(out, next)
+		}
+	}
+	return out
+}
+
+// An adopted run of a leader that recorded nothing is recorded by this one.
+func TestPlacementsAreRecordedAfterATakeover(t *testing.T) {
+	board := testBoard("w0")
+	addUnreachable(board, "w1")
+	board.AddJob(watcher(), nil, true, testStart, testStart)
+	board.ApplyReport("w0", Inventory{
+		Born: testBorn,
+		Running: []RunningTask{{
+			Key: watcherKey,
+			Run: 7,
+		}},
+		Sent: testStart,
+	}, testStart)
+	assert.False(t, board.PlacementsRecorded(testStart), "w1 has not reported")
+	later := board.earlierLeaseEnd().Add(time.Millisecond)
+	assert.False(t, board.PlacementsRecorded(later), "the adopted run is not recorded")
+	records := save(board)
+	require.Len(t, records, 1)
+	assert.Equal(t, "w0", records[0].Progress.Placements[0])
+	assert.True(t, board.PlacementsRecorded(later))
+}
--- a/internal/request/work/progress.go
+++ b/internal/request/work/progress.go
@@ -43,6 +43,9 @@
 	Failures map[int][]int64 `cbor:"4,keyasint,omitempty"`
 	// SavedCheckpoints holds the latest checkpoint by task number.
 	SavedCheckpoints map[int]string `cbor:"5,keyasint,omitempty"`
+	// Placements holds, by task number, the last worker of a long-running task.
+	// It is in the store before the task starts there.
+	Placements map[int]string `cbor:"6,keyasint,omitempty"`
 }
 
 // EncodeJob encodes a job record. Errors: ErrInvalid.
