--- a/internal/process/leader/acquisition.go
+++ b/internal/process/leader/acquisition.go
@@ -38,7 +38,11 @@
 	// placements is set if the progress records have the placements of all
 	// long-running tasks.
 	placements bool
-	jobs       []*work.Job
+	// earlierToken is the token of the leader before, zero if there was none.
+	earlierToken int64
+	// handover is what that leader wrote when it resigned, nil if it did not.
+	handover *schedule.Handover
+	jobs     []*work.Job
 	// createRevisions holds the create revision of each job's record, which is
 	// never written again.
 	createRevisions map[string]int64
@@ -134,6 +138,8 @@
 		sent:       a.leader.config.Clock(),
 		resumed:    a.formerToken != 0 && epoch.Revision == a.formerToken,
 		placements: placements,
+
+		earlierToken: epoch.Revision,
 	}
 	result.token, err = client.Commit(limited, commit)
 	if errors.Is(err, store.ErrUnknown) {
@@ -176,6 +182,9 @@
 		return fmt.Errorf("read key %s: %w", keys.Learned, err)
 	}
 	result.learned = decodeLearned(learned.Value)
+	if err := a.loadHandover(ctx, result); err != nil {
+		return err
+	}
 	listing, err := a.readAll(ctx, keys.work)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/process/leader/handover.go
@@ -0,0 +1,82 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+
+	"mustardreach.example/mustardreach/internal/process/schedule"
+	"mustardreach.example/mustardreach/internal/process/store"
+)
+
+// maxHandoverBytes limits the handover; without one a successor waits for all
+// workers.
+const maxHandoverBytes = 512 << 10
+
+// resignation removes the lead key in the background and writes the handover in
+// the same commit.
+type resignation struct {
+	store store.Client
+	keys  Keys
+	// revision is the lead key's in the term that ends.
+	revision int64
+	handover schedule.Handover
+	done     chan struct{}
+}
+
+func (r *resignation) run(ctx context.Context) {
+	defer close(r.done)
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	commit := store.Commit{
+		If: []store.Condition{
+			{
+				Key:      r.keys.Lead,
+				Revision: r.revision,
+			},
+		},
+		Delete: []string{r.keys.Lead},
+	}
+	value, err := cbor.Marshal(r.handover)
+	switch {
+	case err != nil:
+		klog.ErrorS(err, "handover cannot be encoded", "token", r.revision)
+	case len(value) > maxHandoverBytes:
+		klog.InfoS("handover is too large", "token", r.revision, "bytes", len(value))
+	default:
+		commit.Set = []store.Write{
+			{
+				Key:   r.keys.Handover,
+				Value: value,
+			},
+		}
+	}
+	_, err = r.store.Commit(limited, commit)
+	klog.InfoS("leadership resigned", "token", r.revision, "workers", len(r.handover.Claims), "uncertain", len(r.handover.Uncertain),
+		"bytes", len(value), "err", err)
+}
+
+// loadHandover reads the handover of the leader before. It is ignored if another
+// leader has led since it was written. Errors: those of the store.
+func (a *acquisition) loadHandover(ctx context.Context, result *acquisitionResult) error {
+	key := a.leader.config.Keys.Handover
+	item, err := a.leader.config.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrAbsent) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read key %s: %w", key, err)
+	}
+	var handover schedule.Handover
+	if err := cbor.Unmarshal(item.Value, &handover); err != nil {
+		klog.ErrorS(err, "handover cannot be read", "revision", item.Revision)
+		return nil
+	}
+	if handover.Token == result.earlierToken {
+		result.handover = &handover
+	}
+	return nil
+}
--- a/internal/process/leader/keys.go
+++ b/internal/process/leader/keys.go
@@ -33,6 +33,9 @@
 	// Placements names the newest leader whose progress records have the
 	// placements of all long-running tasks.
 	Placements string
+	// Handover is written by a leader that resigns, along with the deletion of
+	// Lead.
+	Handover string
 	// work is the prefix of all that a leader watches: jobs, cancellations and
 	// one of Lead and Epoch, so that the end of a term is seen before any job
 	// that was submitted after it.
@@ -50,6 +53,7 @@
 			Roster:     prefixRoot + "roster",
 			Learned:    prefixRoot + "learned",
 			Placements: prefixRoot + "placements",
+			Handover:   prefixRoot + "handover",
 			work:       prefixRoot + "work/",
 			state:      prefixRoot + "state/",
 		}
@@ -62,6 +66,7 @@
 		Roster:     root + "roster",
 		Learned:    root + "learned",
 		Placements: root + "placements",
+		Handover:   root + "handover",
 		work:       root + "work/",
 		state:      root + "state/",
 	}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -5,10 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"mustardreach.example/mustardreach/internal/process/schedule"
-	"mustardreach.example/mustardreach/internal/process/store"
 	"mustardreach.example/mustardreach/internal/request/work"
 	"mustardreach.example/mustardreach/internal/version/catalog"
 )
@@ -201,20 +198,20 @@
 // at once. It waits for the removal of the lead key until the context ends.
 func (l *Leader) Resign(ctx context.Context) {
 	done := make(chan struct{})
-	l.post(func(time.Time) {
+	l.post(func(now time.Time) {
 		l.stopping = true
 		if l.term == nil {
 			close(done)
 			return
 		}
-		revision := l.term.token
-		l.stepDown("resigned")
 		resignation := &resignation{
 			store:    l.config.Store,
-			key:      l.config.Keys.Lead,
-			revision: revision,
+			keys:     l.config.Keys,
+			revision: l.term.token,
+			handover: l.board.Handover(now),
 			done:     done,
 		}
+		l.stepDown("resigned")
 		go resignation.run(ctx)
 	})
 	select {
@@ -222,28 +219,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// resignation removes the lead key in the background.
-type resignation struct {
-	store store.Client
-	// key is the lead key and revision its revision in the term that ends.
-	key      string
-	revision int64
-	done     chan struct{}
-}
-
-func (r *resignation) run(ctx context.Context) {
-	defer close(r.done)
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := r.store.Commit(limited, store.Commit{
-		If: []store.Condition{
-			{
-				Key:      r.key,
-				Revision: r.revision,
-			},
-		},
-		Delete: []string{r.key},
-	})
-	klog.InfoS("leadership resigned", "token", r.revision, "err", err)
-}
--- a/internal/process/leader/takeover_test.go
+++ b/internal/process/leader/takeover_test.go
@@ -5,8 +5,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
+	"mustardreach.example/mustardreach/internal/process/schedule"
 	"mustardreach.example/mustardreach/internal/process/store"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
@@ -28,15 +30,19 @@
 
 // submitLongRunning submits a long-running job for workers with the label.
 func (s *site) submitLongRunning(id, label string) {
+	s.submitStep(id, work.Step{
+		Count:       1,
+		Label:       label,
+		LongRunning: true,
+	})
+}
+
+func (s *site) submitStep(id string, step work.Step) {
 	value, err := work.EncodeJob(&work.Job{
-		ID:      id,
-		Queue:   "quotes",
-		Service: "workshop",
-		Steps: []work.Step{{
-			Count:       1,
-			Label:       label,
-			LongRunning: true,
-		}},
+		ID:       id,
+		Queue:    "quotes",
+		Service:  "workshop",
+		Steps:    []work.Step{step},
 		Accepted: time.Now(),
 	})
 	require.NoError(s.t, err)
@@ -63,3 +69,71 @@
 		}) > 0
 	}, maxIdleLongRunning, 5*time.Millisecond)
 }
+
+// Load pattern: hosts are stopped in turn while workers are replaced in turn.
+// Jobs waited for the workers that left, 9.5 s after each change of the leader,
+// beside unused cores.
+func TestJobsWaitForNoDepartedWorkerAfterAResignation(t *testing.T) {
+	s := newSite(t)
+	first, _ := s.startLeader("recife-1")
+	s.submit("settled")
+	s.waitCompleted(first, "settled")
+	s.submitStep("plan", work.Step{
+		Count: 1,
+		Label: "free",
+	})
+	require.Eventually(t, func() bool { return state(first, "plan").Known }, waitTimeout, 5*time.Millisecond)
+	s.leave("w0")
+	second, _ := s.startLeader("olinda-1")
+	first.Resign(context.Background())
+	require.Eventually(t, func() bool { return state(second, "plan").Known }, waitTimeout, 5*time.Millisecond)
+	s.relabel("w1", "free")
+	require.Eventually(t, func() bool { return state(second, "plan").State == work.Completed }, leaseTTL, 5*time.Millisecond)
+}
+
+// A handover says nothing about the starts of a leader that came after it.
+func TestHandoverOfAnEarlierLeaderIsIgnored(t *testing.T) {
+	s := newSite(t)
+	first, _ := s.startLeader("recife-1")
+	s.submit("a")
+	s.waitCompleted(first, "a")
+	first.Resign(context.Background())
+	second, kill := s.startLeader("olinda-1")
+	s.submit("b")
+	s.waitCompleted(second, "b")
+	kill()
+	ctx := t.Context()
+	item, err := s.store.Client().Get(ctx, soloKeys.Handover)
+	require.NoError(t, err)
+	var handover schedule.Handover
+	require.NoError(t, cbor.Unmarshal(item.Value, &handover))
+	epoch, err := s.store.Client().Get(ctx, soloKeys.Epoch)
+	require.NoError(t, err)
+	config := s.leaderConfig("jaboatao-1")
+	config.Keys = soloKeys
+	tests := map[string]struct {
+		earlierToken int64
+		applied      bool
+	}{
+		"of the leader before": {
+			earlierToken: handover.Token,
+			applied:      true,
+		},
+		"of one before that": {
+			earlierToken: epoch.Revision,
+		},
+		"no leader before": {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			result := &acquisitionResult{
+				earlierToken: tt.earlierToken,
+			}
+			attempt := &acquisition{
+				leader: New(config),
+			}
+			require.NoError(t, attempt.loadHandover(ctx, result))
+			require.Equal(t, tt.applied, result.handover != nil)
+		})
+	}
+}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -99,6 +99,9 @@
 		l.board.TrustPlacements()
 		t.placements.complete = true
 	}
+	if result.handover != nil {
+		l.board.ApplyHandover(*result.handover)
+	}
 	for _, id := range result.cancels {
 		l.board.Cancel(id, now)
 	}
--- /dev/null
+++ b/internal/process/schedule/handover.go
@@ -0,0 +1,102 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// Handover is what a leader that resigns knows of the runs of all tasks, so that
+// its successor waits for a worker only with the tasks that may be there.
+type Handover struct {
+	// Token is the token of the term that ends.
+	Token int64 `cbor:"1,keyasint"`
+	// Claims lists the tasks that may be running on a worker, or whose end there is
+	// not in the store, by worker.
+	Claims map[string][]work.TaskKey `cbor:"2,keyasint,omitempty"`
+	// Uncertain are inherited jobs with tasks that still wait for workers, on
+	// which an earlier leader may have started them. Ids rise.
+	Uncertain []string `cbor:"3,keyasint,omitempty"`
+}
+
+// Handover returns what a successor should know when the term ends at now.
+func (b *Board) Handover(now time.Time) Handover {
+	out := Handover{
+		Token:  b.token,
+		Claims: map[string][]work.TaskKey{},
+	}
+	for id, w := range b.workers {
+		keys := slices.Collect(maps.Keys(w.claims))
+		if b.HasUnsavedEnds(id) {
+			for _, end := range w.ends {
+				keys = append(keys, end.key)
+			}
+		}
+		if len(keys) > 0 {
+			out.Claims[id] = keys
+		}
+	}
+	for id, j := range b.open {
+		if j.inherited == 0 {
+			continue
+		}
+		for _, t := range j.waitingTasks() {
+			if !t.located {
+				out.Uncertain = append(out.Uncertain, id)
+				break
+			}
+			if !b.mayStartTask(j, t, now) {
+				out.Claims[t.lastWorker] = append(out.Claims[t.lastWorker], t.key)
+			}
+		}
+	}
+	for _, keys := range out.Claims {
+		slices.SortFunc(keys, compareKeys)
+	}
+	slices.Sort(out.Uncertain)
+	return out
+}
+
+// waitingTasks returns the tasks that have no claim and are not done.
+func (j *job) waitingTasks() []*task {
+	var out []*task
+	for _, occ := range j.occurrences {
+		for _, step := range occ.steps {
+			for _, t := range step.tasks {
+				if t.phase == waiting {
+					out = append(out, t)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// ApplyHandover applies the handover of the leader before to the inherited jobs
+// known so far.
+func (b *Board) ApplyHandover(handover Handover) {
+	for _, j := range b.open {
+		if _, uncertain := slices.BinarySearch(handover.Uncertain, j.work.ID); j.inherited == 0 || uncertain {
+			continue
+		}
+		j.located = true
+		for _, occ := range j.occurrences {
+			for _, step := range occ.steps {
+				for _, t := range step.tasks {
+					t.located, t.lastWorker = true, ""
+				}
+			}
+		}
+	}
+	for id, keys := range handover.Claims {
+		for _, key := range keys {
+			if j := b.open[key.Job]; j != nil {
+				if _, _, t := j.find(key); t != nil {
+					t.located, t.lastWorker, j.located = true, id, true
+				}
+			}
+		}
+	}
+}
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -9,6 +9,7 @@
 // pendingEnd is an end whose effect may not be in the store yet.
 type pendingEnd struct {
 	number  int64
+	key     work.TaskKey
 	job     string
 	version int64
 }
@@ -75,6 +76,7 @@
 		job, version := b.applyEnd(w, end, now)
 		w.ends = append(w.ends, pendingEnd{
 			number:  end.Number,
+			key:     end.Key,
 			job:     job,
 			version: version,
 		})
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -115,6 +115,8 @@
 	next         int
 	// longRunning is set if some jobs are long-running.
 	longRunning bool
+	// resigns is set if some leaders resign before the next one begins.
+	resigns bool
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -157,6 +159,11 @@
 // goes on for its act term, as a leader does that has not noticed yet.
 func (sim *simulation) newLeader() {
 	sim.previous, sim.previousUntil = sim.board, sim.now.Add(testActTerm)
+	var handover *Handover
+	if sim.resigns && sim.board != nil && rapid.Bool().Draw(sim.t, "resigns") {
+		resigned := sim.board.Handover(sim.now)
+		sim.previous, handover = nil, &resigned
+	}
 	sim.token += 10
 	sim.board = NewBoard(testConfig())
 	sim.board.SetCatalog(testCatalog())
@@ -170,6 +177,9 @@
 		sim.board.AddJob(spec, progress, sim.created[id] < sim.token, sim.now, sim.now)
 	}
 	sim.board.TrustPlacements()
+	if handover != nil {
+		sim.board.ApplyHandover(*handover)
+	}
 	for _, id := range sim.cancels {
 		sim.board.Cancel(id, sim.now)
 	}
@@ -388,6 +398,9 @@
 
 // write stores records; only those of the newest leader are accepted.
 func (sim *simulation) write() {
+	if sim.resigns && rapid.Bool().Draw(sim.t, "later") {
+		return
+	}
 	for _, record := range sim.board.Records(true, 100) {
 		if rapid.IntRange(0, 9).Draw(sim.t, "write") == 0 {
 			sim.board.Written(record.Job, record.Version, false)
@@ -520,6 +533,22 @@
 	})
 }
 
+// Leaders that resign hand over what they know; others are replaced while they
+// act.
+func TestNoTaskRunsTwiceAfterResignations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t)
+		sim.longRunning, sim.resigns = true, true
+		for range 120 {
+			if sim.next < 6 && rapid.IntRange(0, 4).Draw(t, "submit") == 0 {
+				sim.submit()
+			}
+			sim.injectFault()
+			sim.tick()
+		}
+	})
+}
+
 // TestAllWorkEnds stops the faults after a while: every job must then end.
 func TestAllWorkEnds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/request/work/key.go
+++ b/internal/request/work/key.go
@@ -8,11 +8,12 @@
 
 // TaskKey identifies a task within one occurrence of a job.
 type TaskKey struct {
-	Job string
+	Job string `cbor:"1,keyasint"`
 	// Occurrence counts from zero. It is zero for a job that runs once.
-	Occurrence int
+	Occurrence int `cbor:"2,keyasint,omitempty"`
 	// Step and Index count from zero.
-	Step, Index int
+	Step  int `cbor:"3,keyasint,omitempty"`
+	Index int `cbor:"4,keyasint,omitempty"`
 }
 
 // String formats the key as JOB.OCCURRENCE.STEP.INDEX.
