--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -167,7 +167,7 @@
 			Spec:       j.work.Spec,
 			Checkpoint: checkpoint,
 			Ticket:     step.ticketFor(chosen[i].ID),
-		})
+		}, now)
 	}
 }
 
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -83,7 +83,6 @@
 		step.waiting--
 	}
 	t.phase, t.worker, t.run = claimed, w.ID, run
-	t.located, t.lastWorker, j.located = true, w.ID, true
 	j.everClaimed = true
 	j.claims++
 	return held
--- a/internal/process/schedule/handover.go
+++ b/internal/process/schedule/handover.go
@@ -42,30 +42,31 @@
 		if j.inherited == 0 {
 			continue
 		}
-		for _, t := range j.waitingTasks() {
+		for _, t := range j.openTasks() {
 			if !t.located {
 				out.Uncertain = append(out.Uncertain, id)
 				break
 			}
-			if !b.mayStartTask(j, t, now) {
-				out.Claims[t.lastWorker] = append(out.Claims[t.lastWorker], t.key)
+			for _, worker := range b.unsettledWorkers(t, now) {
+				out.Claims[worker] = append(out.Claims[worker], t.key)
 			}
 		}
 	}
-	for _, keys := range out.Claims {
+	for id, keys := range out.Claims {
 		slices.SortFunc(keys, compareKeys)
+		out.Claims[id] = slices.Compact(keys)
 	}
 	slices.Sort(out.Uncertain)
 	return out
 }
 
-// waitingTasks returns the tasks that have no claim and are not done.
-func (j *job) waitingTasks() []*task {
+// openTasks returns the tasks that are not done.
+func (j *job) openTasks() []*task {
 	var out []*task
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
 			for _, t := range step.tasks {
-				if t.phase == waiting {
+				if t.phase != done {
 					out = append(out, t)
 				}
 			}
@@ -85,7 +86,7 @@
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
 				for _, t := range step.tasks {
-					t.located, t.lastWorker = true, ""
+					t.located, t.lastWorkers = true, nil
 				}
 			}
 		}
@@ -94,7 +95,7 @@
 		for _, key := range keys {
 			if j := b.open[key.Job]; j != nil {
 				if _, _, t := j.find(key); t != nil {
-					t.located, t.lastWorker, j.located = true, id, true
+					t.lastWorkers = append(t.lastWorkers, id)
 				}
 			}
 		}
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/request/work"
@@ -131,12 +132,17 @@
 		b.stop(w.ID, row.Key, row.Run, "not_wanted")
 		return nil
 	}
-	unrecorded := step.spec.LongRunning && t.lastWorker != w.ID
 	held := b.claim(w, j, step, t, row.Run, now)
 	held.confirmed = true
-	if unrecorded {
-		b.markChanged(j)
+	if step.spec.LongRunning {
+		if !slices.Contains(t.lastWorkers, w.ID) {
+			b.markChanged(j)
+		}
+		// An earlier leader would have started another run only after the end of
+		// this one, and ends of other runs change nothing.
+		t.located, j.located = true, true
 	}
+	b.addLastWorker(t, w, now)
 	j.progress.Started = true
 	return held
 }
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -36,11 +36,12 @@
 	notBefore time.Time
 	// endedAt is when the last run ended.
 	endedAt time.Time
-	// located is set if no worker but lastWorker can have a run of the task, so
-	// that it need not wait until all workers have reported to a new leader.
-	// lastWorker is empty if the task was never started.
-	located    bool
-	lastWorker string
+	// located is set if no workers but lastWorkers can have a run of the task or
+	// an end that is not saved, so that it need not wait until all workers have
+	// reported to a new leader. The newest is last; there is none if the task was
+	// never started.
+	located     bool
+	lastWorkers []string
 }
 
 // stepState is one step of one occurrence.
@@ -193,7 +194,9 @@
 			for _, t := range step.tasks {
 				t.failures = slices.Clone(progress.Failures[number])
 				t.checkpoint = progress.SavedCheckpoints[number]
-				t.lastWorker = progress.Placements[number]
+				if placement, ok := progress.Placements[number]; ok {
+					t.lastWorkers = []string{placement}
+				}
 				if number/8 < len(progress.Done) && progress.Done[number/8]&(1<<(number%8)) != 0 {
 					j.finish(occ, step, t)
 				}
@@ -239,8 +242,8 @@
 				if len(t.failures) > 0 && t.phase != done {
 					out.Failures[number] = slices.Clone(t.failures)
 				}
-				if step.spec.LongRunning && t.lastWorker != "" {
-					out.Placements[number] = t.lastWorker
+				if count := len(t.lastWorkers); step.spec.LongRunning && count > 0 {
+					out.Placements[number] = t.lastWorkers[count-1]
 				}
 				number++
 			}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -146,5 +146,5 @@
 		Spec:       j.work.Spec,
 		Checkpoint: t.checkpoint,
 		Ticket:     step.ticketFor(w.ID),
-	})
+	}, now)
 }
--- a/internal/process/schedule/placements.go
+++ b/internal/process/schedule/placements.go
@@ -13,7 +13,10 @@
 }
 
 // sendStart orders the start of a task that has a claim.
-func (b *Board) sendStart(j *job, step *stepState, start Start) {
+func (b *Board) sendStart(j *job, step *stepState, start Start, now time.Time) {
+	t := step.tasks[start.Key.Index]
+	t.located, j.located = true, true
+	b.addLastWorker(t, b.workers[start.Worker], now)
 	if step.spec.LongRunning {
 		b.markChanged(j)
 		j.placed = j.version
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -47,16 +47,33 @@
 	return true
 }
 
+// addLastWorker records that a task has a run on a worker. Workers that are
+// accounted for are dropped.
+func (b *Board) addLastWorker(t *task, w *workerState, now time.Time) {
+	t.lastWorkers = append(slices.DeleteFunc(t.lastWorkers, func(id string) bool {
+		return id == w.ID || b.workers[id] == nil || b.accountedFor(b.workers[id], now)
+	}), w.ID)
+}
+
 // mayStartTask reports whether a task of a job that may not start as a whole is
-// certain not to be running already. A run that a worker reports to the new
-// leader is the only one: an earlier leader would have started another one only
-// after the end of this one.
+// certain not to be running already.
 func (b *Board) mayStartTask(j *job, t *task, now time.Time) bool {
 	if j.inherited == 0 {
 		return true
 	}
-	w := b.workers[t.lastWorker]
-	return t.located && (w == nil || b.accountedFor(w, now))
+	return t.located && len(b.unsettledWorkers(t, now)) == 0
+}
+
+// unsettledWorkers returns the last workers of a task that are not accounted
+// for.
+func (b *Board) unsettledWorkers(t *task, now time.Time) []string {
+	var out []string
+	for _, id := range t.lastWorkers {
+		if w := b.workers[id]; w != nil && !b.accountedFor(w, now) {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // mayStartAll reports whether all tasks of a gang are certain not to be running
