--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -133,11 +133,14 @@
 
 // placeGang starts all tasks of a gang step at once, or none.
 func (b *Board) placeGang(j *job, step *stepState, pool []*workerState, now time.Time) {
+	if !b.mayStartAll(j, step, now) {
+		return
+	}
 	if step.waiting != len(step.tasks) {
 		b.breakGang(step)
 		return
 	}
-	if now.Before(step.tasks[0].notBefore) || !b.mayStartAll(j, step, now) {
+	if now.Before(step.tasks[0].notBefore) {
 		return
 	}
 	run, everClaimed := b.nextRun(), j.everClaimed
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -76,11 +76,11 @@
 	return out
 }
 
-// mayStartAll reports whether all tasks of a gang are certain not to be running
-// already.
+// mayStartAll reports whether all waiting tasks of a gang are certain not to be
+// running already.
 func (b *Board) mayStartAll(j *job, step *stepState, now time.Time) bool {
 	for _, t := range step.tasks {
-		if !b.mayStartTask(j, t, now) {
+		if t.phase == waiting && !b.mayStartTask(j, t, now) {
 			return false
 		}
 	}
--- a/internal/process/schedule/takeover_test.go
+++ b/internal/process/schedule/takeover_test.go
@@ -215,3 +215,47 @@
 	assert.Equal(t, "w0", records[0].Progress.Placements[0])
 	assert.True(t, board.PlacementsRecorded(later))
 }
+
+// A gang that runs on two workers outlives a takeover: the worker that reports
+// second must not find the other member stopped.
+func TestTakeoverKeepsGangWhoseMembersReportOneByOne(t *testing.T) {
+	tests := map[string]bool{
+		"batch":        false,
+		"long-running": true,
+	}
+	for name, longRunning := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0", "w1")
+			board.Begin(testToken+10, testStart) // no worker has reported yet
+			step := tasks(2, 1000)
+			step.Gang, step.LongRunning = true, longRunning
+			progress := &work.Progress{
+				Started: true,
+			}
+			if longRunning {
+				progress.Placements = map[int]string{0: "w0", 1: "w1"}
+			}
+			board.AddJob(testJob("gang", "quotes", step), progress, true, testStart, testStart)
+			board.TrustPlacements()
+			member := func(index int) Inventory {
+				return Inventory{
+					Born: testBorn,
+					Running: []RunningTask{{
+						Key: work.TaskKey{
+							Job:   "gang",
+							Index: index,
+						},
+						Run: 7,
+					}},
+					Sent: testStart,
+				}
+			}
+			board.ApplyReport("w0", member(0), testStart)
+			assert.Empty(t, board.Decide(testStart, true).Stops, "the other member may be running on w1")
+			board.ApplyReport("w1", member(1), testStart.Add(10*time.Millisecond))
+			effects := board.Decide(testStart.Add(10*time.Millisecond), true)
+			assert.Empty(t, effects.Stops)
+			assert.Empty(t, effects.Starts)
+		})
+	}
+}
