--- a/internal/process/leader/acquisition.go
+++ b/internal/process/leader/acquisition.go
@@ -203,6 +203,7 @@
 		progress, err := work.DecodeProgress(item.Value)
 		if err != nil {
 			klog.ErrorS(err, "progress record cannot be read", "key", item.Key, "revision", item.Revision)
+			result.placements, result.handover = false, nil
 			continue
 		}
 		result.progress[item.Key[len(keys.state):]] = progress
--- a/internal/process/leader/takeover_test.go
+++ b/internal/process/leader/takeover_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"mustardreach.example/mustardreach/internal/process/schedule"
@@ -137,3 +138,57 @@
 		})
 	}
 }
+
+// A progress record that cannot be read says nothing about where the task was
+// placed: it may be running on the worker that does not answer.
+func TestUnreadableProgressRecordIsNotTrusted(t *testing.T) {
+	s := newSite(t)
+	first, _ := s.startLeader("recife-1")
+	s.submit("settled")
+	s.waitCompleted(first, "settled")
+	s.submitLongRunning("watcher", "r1") // only w1 has the label
+	key := work.TaskKey{
+		Job: "watcher",
+	}
+	require.Eventually(t, func() bool { return s.workers.started(key) > 0 }, waitTimeout, time.Millisecond)
+	first.Resign(context.Background())
+	s.leave("w1")
+	started := s.workers.started(key)
+	s.put(soloKeys.State("watcher"), []byte{0xff})
+	s.relabel("w0", "r1")
+	second, _ := s.startLeader("olinda-1")
+	require.Eventually(t, func() bool { return state(second, "watcher").Known }, waitTimeout, time.Millisecond)
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, started, s.workers.started(key), "w1 may still run the task")
+}
+
+// A build without placements led in between and may have started the task on w1.
+func TestPlacementsOfEarlierBuildAreNotTrusted(t *testing.T) {
+	s := newSite(t)
+	first, _ := s.startLeader("recife-1")
+	s.submit("settled")
+	s.waitCompleted(first, "settled")
+	first.Resign(context.Background())
+	s.submitLongRunning("watcher", "r1")
+	value, err := cbor.Marshal(Member{
+		Host:        "old",
+		Incarnation: "old",
+	})
+	require.NoError(t, err)
+	s.put(soloKeys.Epoch, value) // as an acquisition of the earlier build does
+	s.leave("w1")
+	s.relabel("w0", "r1")
+	second, _ := s.startLeader("olinda-1")
+	require.Eventually(t, func() bool { return state(second, "watcher").Known }, waitTimeout, time.Millisecond)
+	time.Sleep(2 * time.Second)
+	assert.Zero(t, s.workers.started(work.TaskKey{
+		Job: "watcher",
+	}), "w1 may run the task")
+	// All records are complete once the runs of w1 are over.
+	require.Eventually(t, func() bool {
+		item, err := s.store.Client().Get(context.Background(), soloKeys.Placements)
+		epoch, _ := s.store.Client().Get(context.Background(), soloKeys.Epoch)
+		var token int64
+		return err == nil && cbor.Unmarshal(item.Value, &token) == nil && token == epoch.Revision
+	}, 15*time.Second, 10*time.Millisecond)
+}
