--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -40,8 +40,9 @@
 	if j.inherited == 0 {
 		return true
 	}
-	if unsettled[b.serviceOf(j)] {
-		return false
+	service := b.serviceOf(j)
+	if unsettled[service] || service != j.work.Service && len(unsettled) > 0 {
+		return false // the queue may have moved between services more than once
 	}
 	j.inherited = 0
 	return true
--- a/internal/process/schedule/takeover_test.go
+++ b/internal/process/schedule/takeover_test.go
@@ -259,3 +259,29 @@
 		})
 	}
 }
+
+// The queue has moved to another service since a task was started: a worker of
+// the former service does not answer and may still run it.
+func TestMovedQueueWaitsForWorkersOfItsFormerService(t *testing.T) {
+	tests := map[string]*work.Job{
+		"batch":        testJob("a", "quotes", tasks(1, 1000)),
+		"long-running": watcher(),
+	}
+	for name, spec := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			addUnreachable(board, "w1")
+			board.workers["w1"].Service = "annex"
+			spec.Service = "annex"
+			board.AddJob(spec, &work.Progress{
+				Started:    true,
+				Placements: map[int]string{0: "w1"},
+			}, true, testStart, testStart)
+			board.TrustPlacements()
+			assert.Empty(t, decideAndSave(board, testStart).Starts, "it may be running on w1")
+			later := board.earlierLeaseEnd().Add(time.Millisecond)
+			poll(board, "w0", later)
+			assert.Len(t, decideAndSave(board, later).Starts, 1)
+		})
+	}
+}
