--- a/internal/process/leader/takeover_test.go
+++ b/internal/process/leader/takeover_test.go
@@ -192,3 +192,16 @@
 		return err == nil && cbor.Unmarshal(item.Value, &token) == nil && token == epoch.Revision
 	}, 15*time.Second, 10*time.Millisecond)
 }
+
+// The leadership lapsed, a job was accepted, and the same host acquired the
+// leadership again. Nobody can have started the job.
+func TestJobAcceptedBetweenResumedTermsWaitsForNoWorker(t *testing.T) {
+	s := newSite(t)
+	leading, _ := s.startLeader("recife-1")
+	s.submit("settled")
+	s.waitCompleted(leading, "settled")
+	s.leave("w1")
+	s.store.ExpireLeases()
+	s.submit("a")
+	require.Eventually(t, func() bool { return state(leading, "a").State == work.Completed }, leaseTTL, 5*time.Millisecond)
+}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -20,6 +20,10 @@
 	cancel context.CancelFunc
 	token  int64
 	lease  int64
+	// firstToken is the token that the term began with; token rises if the term
+	// is resumed. No earlier leader can have started a job that was created after
+	// firstToken.
+	firstToken int64
 	// ready is set until the term ends.
 	ready bool
 	// unoccupied is set while the lead key is gone and, as far as is known,
@@ -69,6 +73,7 @@
 		ctx:          termCtx,
 		cancel:       cancel,
 		token:        result.token,
+		firstToken:   result.token,
 		lease:        result.lease,
 		ready:        true,
 		actUntil:     result.sent.Add(ActTerm),
@@ -248,7 +253,7 @@
 	}
 	t.moves.revisions[job.ID] = item.Revision
 	klog.InfoS("job seen", "job", job.ID, "queue", job.Queue, "revision", item.Revision)
-	t.leader.board.AddJob(job, nil, item.CreateRevision < t.token, now, t.leader.config.TimeOfDay())
+	t.leader.board.AddJob(job, nil, item.CreateRevision < t.firstToken, now, t.leader.config.TimeOfDay())
 	if t.leader.config.UsualShard(job.ID) != t.leader.config.Shard {
 		t.leader.board.Arrived(job.ID)
 	}
