--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -2,10 +2,12 @@
 // no I/O and reads no clock: callers pass in reports with their time, and get
 // back the orders to send and the records to write.
 //
-// A start needs no write to the store. Only the leader gives orders, each with
-// its fencing token, and workers refuse lower tokens. Before a new leader starts
-// a task that an earlier one may have started, each worker of the service must
-// have reported under the new token, or its runs must certainly have ended.
+// Only the leader gives orders, each with its fencing token, and workers refuse
+// lower tokens. A start needs no write to the store, but for that of a
+// long-running task. Before a new leader starts a task that an earlier one may
+// have started, each worker where it may be must have reported under the new
+// token, or its runs must certainly have ended: all workers of the service, or
+// those that a record or a handover names.
 package schedule
 
 import (
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -89,8 +89,10 @@
 // decideAndSave returns the orders of a decision, with the starts of
 // long-running tasks, which follow once their placements are in the store.
 func decideAndSave(board *Board, now time.Time) Effects {
+	limit := board.startsLeft
 	effects := board.Decide(now, true)
 	save(board)
+	board.LimitStarts(limit - len(effects.Starts))
 	effects.Starts = append(effects.Starts, board.Decide(now, true).Starts...)
 	return effects
 }
--- a/internal/process/schedule/handover.go
+++ b/internal/process/schedule/handover.go
@@ -82,7 +82,7 @@
 		if _, uncertain := slices.BinarySearch(handover.Uncertain, j.work.ID); j.inherited == 0 || uncertain {
 			continue
 		}
-		j.located = true
+		j.hasLocated = true
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
 				for _, t := range step.tasks {
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -140,7 +140,7 @@
 		}
 		// An earlier leader would have started another run only after the end of
 		// this one, and ends of other runs change nothing.
-		t.located, j.located = true, true
+		t.located, j.hasLocated = true, true
 	}
 	b.addLastWorker(t, w, now)
 	j.progress.Started = true
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -82,8 +82,8 @@
 	fromEarlierTerm, everClaimed, departing bool
 	// balanced is set once a round of moves has left the job here.
 	balanced bool
-	// located is set if one of its tasks is.
-	located bool
+	// hasLocated is set if one of its tasks is located.
+	hasLocated bool
 	// seen is when the job was added here.
 	seen time.Time
 	// attempts is the last known limit of attempts per task, zero for no limit.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -14,7 +14,7 @@
 	candidates := make([]candidate, 0, len(b.open))
 	unsettled := b.unsettledServices(now)
 	for _, j := range b.open {
-		if j.left > j.claims && !j.departing && !b.held(j) && (b.mayStart(j, unsettled) || j.located) {
+		if j.left > j.claims && !j.departing && !b.held(j) && (b.mayStart(j, unsettled) || j.hasLocated) {
 			candidates = append(candidates, candidate{
 				job:  j,
 				rank: b.rankOf(j, now),
--- a/internal/process/schedule/placements.go
+++ b/internal/process/schedule/placements.go
@@ -15,7 +15,7 @@
 // sendStart orders the start of a task that has a claim.
 func (b *Board) sendStart(j *job, step *stepState, start Start, now time.Time) {
 	t := step.tasks[start.Key.Index]
-	t.located, j.located = true, true
+	t.located, j.hasLocated = true, true
 	b.addLastWorker(t, b.workers[start.Worker], now)
 	if step.spec.LongRunning {
 		b.markChanged(j)
@@ -43,9 +43,10 @@
 		case held == nil || held.run != next.start.Run || !held.stopping.IsZero() || !held.barred.IsZero():
 		case !b.usable(w, now):
 			b.release(w, next.start.Key, now)
-		case j.durable < next.version:
+		case j.durable < next.version || b.startsLeft <= 0:
 			later = append(later, next)
 		default:
+			b.startsLeft--
 			held.unanswered++
 			b.effects.Starts = append(b.effects.Starts, next.start)
 		}
@@ -65,7 +66,7 @@
 				if !step.spec.LongRunning {
 					continue
 				}
-				j.located = true
+				j.hasLocated = true
 				for _, t := range step.tasks {
 					t.located = true
 				}
@@ -75,7 +76,8 @@
 }
 
 // PlacementsRecorded reports whether the store has the placement of every
-// long-running task that may be running.
+// long-running task that may be running. That is not known before all workers
+// are accounted for.
 func (b *Board) PlacementsRecorded(now time.Time) bool {
 	if len(b.unsettledServices(now)) > 0 {
 		return false
--- a/internal/process/schedule/takeover_test.go
+++ b/internal/process/schedule/takeover_test.go
@@ -178,13 +178,13 @@
 			for _, start := range board.Decide(testStart, true).Starts {
 				assert.NotEqual(t, chosen.ID, start.Worker)
 			}
-			assert.Empty(t, withPlacement(board, chosen.ID))
+			assert.Empty(t, unrecordedStartsOn(board, chosen.ID))
 		})
 	}
 }
 
-// withPlacement returns the starts on a worker that wait for a record.
-func withPlacement(board *Board, id string) []unrecordedStart {
+// unrecordedStartsOn returns the starts on a worker that wait for a record.
+func unrecordedStartsOn(board *Board, id string) []unrecordedStart {
 	var out []unrecordedStart
 	for _, next := range board.unrecordedStarts {
 		if next.start.Worker == id {
@@ -285,3 +285,21 @@
 		})
 	}
 }
+
+// Load pattern: the store is slow while many long-running tasks are placed. Their
+// starts must not fill the queue of orders at once.
+func TestRecordedStartsKeepTheLimitOfStarts(t *testing.T) {
+	board := testBoard("w0", "w1")
+	step := tasks(8, 1000)
+	step.LongRunning = true
+	board.AddJob(testJob("watcher", "quotes", step), nil, false, testStart, testStart)
+	for range step.Count { // the store does not answer meanwhile
+		board.LimitStarts(1)
+		require.Empty(t, board.Decide(testStart, true).Starts)
+	}
+	save(board)
+	for range step.Count {
+		board.LimitStarts(1)
+		assert.Len(t, board.Decide(testStart, true).Starts, 1)
+	}
+}
