--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -26,6 +26,7 @@
 // execute sends the orders and ticket requests that the board decided on.
 func (t *term) execute(effects schedule.Effects, now time.Time) {
 	t.requestTickets(effects.TicketRequests)
+	t.logCrashes(effects.Crashes)
 	for i := range effects.Stops {
 		t.order(&call{
 			stop: &effects.Stops[i],
@@ -124,3 +125,17 @@
 		board.ThrottleReplied(*c.throttle, verdict)
 	}
 }
+
+func (t *term) logCrashes(crashes []schedule.Crash) {
+	for _, crash := range crashes {
+		t.leader.config.Counts.Add("worker_crashes", 1)
+		suspects := make([]string, 0, len(crash.Suspects))
+		for _, task := range crash.Suspects {
+			suspects = append(suspects, task.String())
+		}
+		klog.InfoS("worker crashed", "worker", crash.Worker, "suspects", suspects)
+		for _, task := range crash.GivenUp {
+			klog.InfoS("task given up", "job", task.Job, "task", task, "reason", "crashes_workers")
+		}
+	}
+}
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -79,6 +79,8 @@
 	pendingRetries []Start
 	// unsaved holds the jobs whose progress is newer than their record.
 	unsaved map[string]*job
+	// lost holds the workers that may have crashed under one of their tasks.
+	lost map[string]*lostWorker
 }
 
 // NewBoard returns an empty board.
@@ -95,6 +97,7 @@
 		estimates:    newEstimates(),
 		interference: newInterference(),
 		unsaved:      map[string]*job{},
+		lost:         map[string]*lostWorker{},
 		startsLeft:   math.MaxInt,
 	}
 }
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -25,9 +25,10 @@
 	board.SetCatalog(testCatalog())
 	board.Begin(testToken, testStart)
 	listings := map[string]Listing{}
-	for _, id := range ids {
+	for i, id := range ids {
 		listings[id] = Listing{
 			ID:      id,
+			Address: testAddress(i),
 			Zone:    "recife",
 			Service: "workshop",
 			Capacity: worker.Size{
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -66,12 +66,14 @@
 }
 
 // Weights of a worker's score. Each is well above the next, so that they decide
-// in this order: avoid the worker where the task failed last, avoid suspect
-// workers, prefer the data's rack, then compare free capacity.
+// in this order: avoid the worker where the task failed last, keep tasks that
+// may crash their workers apart, avoid suspect workers, prefer the data's rack,
+// then compare free capacity.
 const (
-	weightAvoid    = 100.0
-	weightLocality = 10.0
-	weightHealth   = 20.0
+	weightAvoid     = 1000.0
+	weightIsolation = 40.0
+	weightLocality  = 10.0
+	weightHealth    = 20.0
 	// weightInterference weighs the headroom that a filler takes against unused
 	// cores.
 	weightInterference = 2.0
@@ -94,9 +96,13 @@
 	if spec.Rack != "" && slices.Contains(w.Labels, spec.Rack) {
 		score += weightLocality
 	}
+	score -= weightIsolation * float64(w.suspicion)
 	free := w.Capacity.Sub(w.used)
 	freeShare := ratio(free.MilliCores, w.Capacity.MilliCores)
 	switch {
+	case len(t.crashes) > 0:
+		// The fewer tasks run beside it, the fewer may be lost with it.
+		return score + freeShare
 	case spec.Filler:
 		return score + ratio(w.idle, w.Capacity.MilliCores) - weightInterference*b.interferenceCost(w, spec.Image, spec.Size.MilliCores)
 	case spec.TailTarget > 0:
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -38,6 +38,8 @@
 	filler      bool
 	serving     bool
 	longRunning bool
+	// suspicion is the number of crashes counted against the task at its start.
+	suspicion int
 	// target is the limit of a serving task's tail latency and latency the
 	// newest report. overTargetSince is since when headroom has been below
 	// nearTargetHeadroom, zero if it is not.
@@ -77,6 +79,7 @@
 // claim assigns a run of the task to a worker and takes its capacity.
 func (b *Board) claim(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) *claim {
 	held := newClaim(step.spec, run, now)
+	held.suspicion = len(t.crashes)
 	w.addClaim(t.key, held)
 	b.unreserve(t.key)
 	if t.phase == waiting {
@@ -117,6 +120,7 @@
 	w.used = w.used.Add(held.size)
 	w.idle -= held.estimatedUse()
 	w.steps[stepOf(key)]++
+	w.suspicion += held.suspicion
 	if held.serving {
 		w.serving[held.image]++
 	}
@@ -133,6 +137,7 @@
 	if w.steps[stepOf(key)]--; w.steps[stepOf(key)] == 0 {
 		delete(w.steps, stepOf(key))
 	}
+	w.suspicion -= held.suspicion
 	if held.filler {
 		if w.fillers[held.image] -= held.requested; w.fillers[held.image] <= 0 {
 			delete(w.fillers, held.image)
--- /dev/null
+++ b/internal/process/schedule/crashes.go
@@ -0,0 +1,218 @@
+package schedule
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+const (
+	// maxCrashes is how many workers may crash under a task, each shortly after
+	// it started there, before its job fails. Two happen to tasks that only ran
+	// beside the cause.
+	maxCrashes = 3
+	// maxDoubtfulCrashes is the same while other suspects of the last crash had
+	// as many.
+	maxDoubtfulCrashes = 5
+)
+
+// Crash is a worker whose process ended without warning.
+type Crash struct {
+	Worker string
+	// Suspects are the tasks that may have caused it, in order. GivenUp are
+	// those of them whose jobs have failed for it.
+	Suspects, GivenUp []work.TaskKey
+}
+
+// suspectRun is a run that may have crashed its worker.
+type suspectRun struct {
+	key work.TaskKey
+	run int64
+}
+
+// lostWorker is a worker whose runs have ended for an unknown reason: it has
+// crashed, or it cannot be reached. It is resolved once it answers again or
+// another worker has its address.
+type lostWorker struct {
+	id          string
+	address     netip.AddrPort
+	incarnation time.Time
+	since       time.Time
+	suspects    []suspectRun
+}
+
+// suspectsOn returns the runs that the worker may have crashed under. Runs that
+// it has listed for a whole lease term did not crash it by their start, and
+// starts without an answer may not have reached it.
+func (b *Board) suspectsOn(w *workerState) []suspectRun {
+	if w.Draining || b.sharesFate(w) {
+		return nil
+	}
+	var out []suspectRun
+	for key, held := range w.claims {
+		j := b.open[key.Job]
+		if j == nil || !held.confirmed || held.orphaned || held.outlived(b.config.LeaseTerm) {
+			continue
+		}
+		out = append(out, suspectRun{
+			key: key,
+			run: held.run,
+		})
+	}
+	slices.SortFunc(out, func(a, c suspectRun) int { return compareKeys(a.key, c.key) })
+	return out
+}
+
+// outlived reports whether the worker has listed the run for at least the term.
+func (c *claim) outlived(term time.Duration) bool {
+	return c.confirmedAt.Sub(c.started) >= term
+}
+
+// sharesFate reports whether no other worker of the worker's zone or rack has
+// outlived it: then the zone or the rack has failed, and not because of a task.
+func (b *Board) sharesFate(w *workerState) bool {
+	var zone, rack domain
+	for _, other := range b.workers {
+		if other == w || other.Address == w.Address {
+			continue
+		}
+		survived := other.reachable && !other.firstReport.After(w.lostAt) && other.lastReport.After(w.lostAt)
+		if other.Zone == w.Zone {
+			zone.add(survived)
+		}
+		if w.Rack != "" && other.Rack == w.Rack {
+			rack.add(survived)
+		}
+	}
+	return zone.failed() || rack.failed()
+}
+
+// domain counts the workers of a failure domain, and those that survived.
+type domain struct {
+	workers, survivors int
+}
+
+func (d *domain) add(survived bool) {
+	d.workers++
+	if survived {
+		d.survivors++
+	}
+}
+
+func (d *domain) failed() bool {
+	return d.workers > 0 && d.survivors == 0
+}
+
+// lose records that a worker's runs have ended without a word from it.
+func (b *Board) lose(w *workerState, now time.Time) {
+	suspects := b.suspectsOn(w)
+	if len(suspects) == 0 {
+		return
+	}
+	lost := &lostWorker{
+		id:          w.ID,
+		address:     w.Address,
+		incarnation: w.incarnation,
+		since:       now,
+		suspects:    suspects,
+	}
+	b.lost[w.ID] = lost
+	b.resolveReplaced(lost, now)
+}
+
+// resolveLost counts the crashes of lost workers that have been replaced.
+func (b *Board) resolveLost(now time.Time) {
+	for id, lost := range b.lost {
+		b.resolveReplaced(lost, now)
+		if now.Sub(lost.since) > b.config.KeepEnded {
+			delete(b.lost, id)
+		}
+	}
+}
+
+func (b *Board) resolveReplaced(lost *lostWorker, now time.Time) {
+	for _, w := range b.workers {
+		if w.listed && w.ID != lost.id && w.Address == lost.address && w.Born.After(lost.incarnation) {
+			delete(b.lost, lost.id)
+			b.countCrash(lost.id, lost.suspects, now)
+			return
+		}
+	}
+}
+
+// resolveReport handles a report of a worker that was lost: it has crashed if
+// another incarnation reports.
+func (b *Board) resolveReport(id string, born, now time.Time) {
+	lost := b.lost[id]
+	if lost == nil {
+		return
+	}
+	delete(b.lost, id)
+	if born.After(lost.incarnation) {
+		b.countCrash(id, lost.suspects, now)
+	}
+}
+
+// countCrash counts a worker's crash against the tasks that may have caused it.
+// Load pattern: a task crashes each worker that starts it. It would be started
+// on one after the other, and take along what runs beside it.
+func (b *Board) countCrash(id string, suspects []suspectRun, now time.Time) {
+	if len(suspects) == 0 {
+		return
+	}
+	crash := Crash{
+		Worker: id,
+	}
+	most, equals := 0, 0
+	for _, suspect := range suspects {
+		j, t := b.openTask(suspect.key)
+		if t == nil || t.phase == done || slices.Contains(t.crashes, suspect.run) {
+			continue
+		}
+		t.crashes = append(t.crashes, suspect.run)
+		b.markChanged(j)
+		crash.Suspects = append(crash.Suspects, t.key)
+		switch {
+		case len(t.crashes) > most:
+			most, equals = len(t.crashes), 1
+		case len(t.crashes) == most:
+			equals++
+		}
+	}
+	limit := maxCrashes
+	if equals > 1 {
+		limit = maxDoubtfulCrashes
+	}
+	for _, key := range crash.Suspects {
+		if j, t := b.openTask(key); t != nil && len(t.crashes) == most && most >= limit {
+			crash.GivenUp = append(crash.GivenUp, key)
+			b.end(j, work.Failed, now)
+		}
+	}
+	b.effects.Crashes = append(b.effects.Crashes, crash)
+}
+
+// openTask returns a task of an open job with its job, or nil.
+func (b *Board) openTask(key work.TaskKey) (*job, *task) {
+	j := b.open[key.Job]
+	if j == nil {
+		return nil, nil
+	}
+	_, _, t := j.find(key)
+	return j, t
+}
+
+// clearSuspect drops the crashes counted against a task that has run for a
+// lease term: it did not cause them.
+func (b *Board) clearSuspect(w *workerState, key work.TaskKey, held *claim) {
+	j, t := b.openTask(key)
+	if t == nil || t.run != held.run || len(t.crashes) == 0 || !held.outlived(b.config.LeaseTerm) {
+		return
+	}
+	t.crashes = nil
+	b.markChanged(j)
+	w.suspicion -= held.suspicion
+	held.suspicion = 0
+}
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -46,9 +46,10 @@
 	if w == nil {
 		return nil
 	}
+	b.resolveReport(id, inventory.Born, now)
 	switch {
 	case w.incarnation.IsZero():
-		w.incarnation = inventory.Born
+		w.incarnation, w.firstReport = inventory.Born, now
 	case inventory.Born.After(w.incarnation):
 		b.handleRestart(w, inventory.Born, now)
 	case inventory.Born.Before(w.incarnation):
@@ -93,6 +94,7 @@
 		}
 		if held != nil {
 			b.observe(held, row, inventory.Sent, now)
+			b.clearSuspect(w, row.Key, held)
 		}
 	}
 	for key, held := range w.claims {
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -30,6 +30,9 @@
 	checkpoint string
 	// failures lists the runs that failed.
 	failures []int64
+	// crashes lists the runs that may have crashed their workers, since the last
+	// one that ran for a lease term.
+	crashes []int64
 	// avoid is the worker on which the task failed last.
 	avoid string
 	// notBefore delays the next start after a refusal.
@@ -185,6 +188,7 @@
 			for _, t := range step.tasks {
 				t.failures = slices.Clone(progress.Failures[number])
 				t.checkpoint = progress.SavedCheckpoints[number]
+				t.crashes = slices.Clone(progress.Crashes[number])
 				if number/8 < len(progress.Done) && progress.Done[number/8]&(1<<(number%8)) != 0 {
 					j.finish(occ, step, t)
 				}
@@ -213,6 +217,7 @@
 		Started:          j.progress.Started,
 		Failures:         map[int][]int64{},
 		SavedCheckpoints: map[int]string{},
+		Crashes:          map[int][]int64{},
 	}
 	number, bits := 0, []byte{}
 	for _, occ := range j.occurrences {
@@ -229,6 +234,9 @@
 				if len(t.failures) > 0 && t.phase != done {
 					out.Failures[number] = slices.Clone(t.failures)
 				}
+				if len(t.crashes) > 0 && t.phase != done {
+					out.Crashes[number] = slices.Clone(t.crashes)
+				}
 				number++
 			}
 		}
--- a/internal/process/schedule/orders.go
+++ b/internal/process/schedule/orders.go
@@ -47,12 +47,14 @@
 	Progress work.Progress
 }
 
-// Effects are the orders and ticket requests that a decision results in.
+// Effects are the orders and ticket requests that a decision results in, and
+// the crashes found since the one before.
 type Effects struct {
 	Starts         []Start
 	Stops          []Stop
 	Throttles      []Throttle
 	TicketRequests []TicketRequest
+	Crashes        []Crash
 }
 
 // Verdict is a worker's answer to an order.
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -129,16 +130,17 @@
 	}
 	for i := range 3 {
 		id := fmt.Sprintf("w%d", i)
-		sim.workers[id] = newSimulatedWorker(id, sim.now)
+		sim.workers[id] = newSimulatedWorker(id, testAddress(i), sim.now)
 	}
 	sim.newLeader()
 	return sim
 }
 
-func newSimulatedWorker(id string, born time.Time) *simulatedWorker {
+func newSimulatedWorker(id string, address netip.AddrPort, born time.Time) *simulatedWorker {
 	return &simulatedWorker{
 		listing: Listing{
 			ID:      id,
+			Address: address,
 			Zone:    "recife",
 			Service: "workshop",
 			Capacity: worker.Size{
@@ -448,7 +450,7 @@
 // that it knows. Later ones, and those of runs that it knew to be over, are
 // dropped: docs/DESIGN.md lists that gap.
 func (sim *simulation) restart(id string) {
-	sim.workers[id] = newSimulatedWorker(id, sim.now)
+	sim.workers[id] = newSimulatedWorker(id, sim.workers[id].listing.Address, sim.now)
 	w := sim.board.workers[id]
 	sim.delayed = slices.DeleteFunc(sim.delayed, func(order delayedStart) bool {
 		if order.worker != id {
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -42,7 +42,10 @@
 	// reportedToken is the token under which it last reported, lastReport when.
 	reportedToken int64
 	lastReport    time.Time
-	reachable     bool
+	// firstReport is when this incarnation first reported, lostAt when the
+	// worker was last found unreachable.
+	firstReport, lostAt time.Time
+	reachable           bool
 	// leaseEnd is when every run there is over if nothing more is sent.
 	leaseEnd time.Time
 	claims   map[work.TaskKey]*claim
@@ -52,6 +55,8 @@
 	// serving counts serving runs by image, steps counts runs by step.
 	serving map[string]int
 	steps   map[stepKey]int
+	// suspicion sums the crashes counted against the tasks that run here.
+	suspicion int
 	// fillers sums the millicores that fillers requested, by image.
 	fillers map[string]int64
 	// lastProcessed is the highest processed end. ends holds those whose effect
@@ -88,7 +93,8 @@
 		if !listing.Born.IsZero() && !w.incarnation.IsZero() && listing.Born.After(w.incarnation) {
 			// Its runs are gone. They are released once it has reported: from
 			// then on it refuses delayed starts of earlier leaders.
-			w.reachable, w.reportedToken = false, 0
+			w.markLost(now)
+			w.reportedToken = 0
 		}
 		w.idle += listing.Capacity.MilliCores - w.Capacity.MilliCores
 		w.Listing = listing
@@ -111,6 +117,7 @@
 			delete(b.workers, id)
 		}
 	}
+	b.resolveLost(now)
 }
 
 func (b *Board) addWorker(listing Listing, now time.Time) *workerState {
@@ -185,6 +192,8 @@
 // has seen neither the token nor any stop, would run it. Such runs are stopped,
 // so that the new incarnation bars them, before their tasks start elsewhere.
 func (b *Board) handleRestart(w *workerState, born time.Time, now time.Time) {
+	w.markLost(now)
+	suspects := b.suspectsOn(w)
 	for key, held := range w.claims {
 		if held.unanswered <= 0 {
 			b.release(w, key, now)
@@ -194,16 +203,17 @@
 		held.retries = maxRetries + 1 // the stop is sent again until it is answered
 		b.stop(w.ID, key, held.run, "worker_restarted")
 	}
-	w.incarnation = born
+	w.incarnation, w.firstReport = born, now
 	w.lastProcessed, w.lastSeen, w.ends = 0, 0, nil
 	w.health = health{}
 	w.blockedUntil = time.Time{}
-	w.reachable = false
+	b.countCrash(w.ID, suspects, now)
 }
 
 // releaseAll releases every claim of a worker whose earlier runs are certainly
 // over.
 func (b *Board) releaseAll(w *workerState, now time.Time) {
+	b.lose(w, now)
 	for key := range w.claims {
 		b.release(w, key, now)
 	}
@@ -212,7 +222,13 @@
 // MarkUnreachable records that a worker did not answer.
 func (b *Board) MarkUnreachable(id string, now time.Time) {
 	if w := b.workers[id]; w != nil {
-		w.reachable = false
+		w.markLost(now)
+	}
+}
+
+func (w *workerState) markLost(now time.Time) {
+	if w.reachable {
+		w.reachable, w.lostAt = false, now
 	}
 }
 
--- a/internal/request/work/progress.go
+++ b/internal/request/work/progress.go
@@ -43,6 +43,9 @@
 	Failures map[int][]int64 `cbor:"4,keyasint,omitempty"`
 	// SavedCheckpoints holds the latest checkpoint by task number.
 	SavedCheckpoints map[int]string `cbor:"5,keyasint,omitempty"`
+	// Crashes lists, by task number, the runs that may have crashed their
+	// workers.
+	Crashes map[int][]int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // EncodeJob encodes a job record. Errors: ErrInvalid.
