--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -50,7 +50,12 @@
 		return
 	}
 	c.term, c.target, c.validUntil = t, workerLink.target, t.actUntil
-	c.lease = t.leaseFor(workerLink, now)
+	c.lease = Lease{
+		Token: t.token,
+	}
+	if c.start != nil {
+		c.lease = t.leaseFor(workerLink, now) // no other order requests a lease
+	}
 	t.waiting = append(t.waiting, c)
 	t.dispatch()
 }
