--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -133,12 +133,15 @@
 
 func (t *term) logCrashes(crashes []schedule.Crash) {
 	for _, crash := range crashes {
-		t.leader.config.Counts.Add("worker_crashes", 1)
-		suspects := make([]string, 0, len(crash.Suspects))
-		for _, task := range crash.Suspects {
-			suspects = append(suspects, task.String())
+		if crash.Worker != "" {
+			t.leader.config.Counts.Add("worker_crashes", 1)
+			suspects := make([]string, 0, len(crash.Suspects))
+			for _, task := range crash.Suspects {
+				suspects = append(suspects, task.String())
+			}
+			klog.InfoS("worker crashed", "worker", crash.Worker, "suspects", suspects,
+				"most", crash.Most, "equals", crash.Equals)
 		}
-		klog.InfoS("worker crashed", "worker", crash.Worker, "suspects", suspects)
 		for _, task := range crash.GivenUp {
 			klog.InfoS("task given up", "job", task.Job, "task", task, "reason", "crashes_workers")
 		}
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -79,7 +79,10 @@
 // claim assigns a run of the task to a worker and takes its capacity.
 func (b *Board) claim(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) *claim {
 	held := newClaim(step.spec, run, now)
-	held.suspicion = len(t.crashes)
+	if len(t.crashes) > 0 {
+		held.suspicion = len(t.crashes)
+		b.markChanged(j) // the record charges the run in advance
+	}
 	w.addClaim(t.key, held)
 	b.unreserve(t.key)
 	if t.phase == waiting {
@@ -176,6 +179,9 @@
 	if t == nil || t.phase != claimed || t.run != held.run || t.worker != w.ID {
 		return
 	}
+	if held.suspicion > 0 {
+		b.markChanged(j)
+	}
 	t.phase, t.worker = waiting, ""
 	t.endedAt = now
 	step.waiting++
--- a/internal/process/schedule/crashes.go
+++ b/internal/process/schedule/crashes.go
@@ -14,16 +14,21 @@
 	// beside the cause.
 	maxCrashes = 3
 	// maxDoubtfulCrashes is the same while other suspects of the last crash had
-	// as many.
-	maxDoubtfulCrashes = 5
+	// as many. A task may be started five times; one crash may go uncounted,
+	// under a leader that is replaced before it counts the first.
+	maxDoubtfulCrashes = 4
 )
 
 // Crash is a worker whose process ended without warning.
 type Crash struct {
+	// Worker is empty if the crashes happened under earlier leaders.
 	Worker string
 	// Suspects are the tasks that may have caused it, in order. GivenUp are
 	// those of them whose jobs have failed for it.
 	Suspects, GivenUp []work.TaskKey
+	// Most is the highest number of crashes counted against a suspect, Equals
+	// the number of suspects with as many.
+	Most, Equals int
 }
 
 // suspectRun is a run that may have crashed its worker.
@@ -78,7 +83,7 @@
 		if other == w || other.Address == w.Address {
 			continue
 		}
-		survived := other.reachable && !other.firstReport.After(w.lostAt) && other.lastReport.After(w.lostAt)
+		survived := !other.firstReport.After(w.lostAt) && other.lastReport.After(w.lostAt)
 		if other.Zone == w.Zone {
 			zone.add(survived)
 		}
@@ -165,7 +170,6 @@
 	crash := Crash{
 		Worker: id,
 	}
-	most, equals := 0, 0
 	for _, suspect := range suspects {
 		j, t := b.openTask(suspect.key)
 		if t == nil || t.phase == done || slices.Contains(t.crashes, suspect.run) {
@@ -175,18 +179,18 @@
 		b.markChanged(j)
 		crash.Suspects = append(crash.Suspects, t.key)
 		switch {
-		case len(t.crashes) > most:
-			most, equals = len(t.crashes), 1
-		case len(t.crashes) == most:
-			equals++
+		case len(t.crashes) > crash.Most:
+			crash.Most, crash.Equals = len(t.crashes), 1
+		case len(t.crashes) == crash.Most:
+			crash.Equals++
 		}
 	}
 	limit := maxCrashes
-	if equals > 1 {
+	if crash.Equals > 1 {
 		limit = maxDoubtfulCrashes
 	}
 	for _, key := range crash.Suspects {
-		if j, t := b.openTask(key); t != nil && len(t.crashes) == most && most >= limit {
+		if j, t := b.openTask(key); t != nil && len(t.crashes) == crash.Most && crash.Most >= limit {
 			crash.GivenUp = append(crash.GivenUp, key)
 			b.end(j, work.Failed, now)
 		}
@@ -194,6 +198,45 @@
 	b.effects.Crashes = append(b.effects.Crashes, crash)
 }
 
+// chargedRuns returns the task's crashes for its record. The current run of a
+// suspect is among them: a successor that finds neither the run nor its end
+// takes it for a crash that this leader had no time to count.
+func (t *task) chargedRuns() []int64 {
+	out := slices.Clone(t.crashes)
+	if t.phase == claimed && !slices.Contains(out, t.run) {
+		out = append(out, t.run)
+	}
+	return out
+}
+
+// acquit drops a run from the crashes of its task and from its record: its
+// worker lists it as running or ended.
+func (b *Board) acquit(j *job, t *task, run int64) {
+	if len(t.crashes) == 0 {
+		return
+	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(charged int64) bool { return charged == run })
+	b.markChanged(j)
+}
+
+// giveUpInherited ends an inherited job if one of its tasks was charged with too
+// many crashes under earlier leaders.
+func (b *Board) giveUpInherited(j *job, now time.Time) {
+	for _, occ := range j.occurrences {
+		for _, step := range occ.steps {
+			for _, t := range step.tasks {
+				if t.phase == waiting && len(t.crashes) >= maxDoubtfulCrashes {
+					b.effects.Crashes = append(b.effects.Crashes, Crash{
+						GivenUp: []work.TaskKey{t.key},
+					})
+					b.end(j, work.Failed, now)
+					return
+				}
+			}
+		}
+	}
+}
+
 // openTask returns a task of an open job with its job, or nil.
 func (b *Board) openTask(key work.TaskKey) (*job, *task) {
 	j := b.open[key.Job]
--- a/internal/process/schedule/ends.go
+++ b/internal/process/schedule/ends.go
@@ -25,6 +25,7 @@
 		return "", 0
 	}
 	before := j.version
+	b.acquit(j, t, end.Run)
 	switch end.Ending {
 	case EndedDone:
 		if !step.spec.LongRunning {
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -131,6 +131,7 @@
 		b.stop(w.ID, row.Key, row.Run, "not_wanted")
 		return nil
 	}
+	b.acquit(j, t, row.Run)
 	held := b.claim(w, j, step, t, row.Run, now)
 	held.confirmed = true
 	j.progress.Started = true
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -31,7 +31,8 @@
 	// failures lists the runs that failed.
 	failures []int64
 	// crashes lists the runs that may have crashed their workers, since the last
-	// one that ran for a lease term.
+	// one that ran for a lease term. With those of an earlier leader it may list
+	// the current run.
 	crashes []int64
 	// avoid is the worker on which the task failed last.
 	avoid string
@@ -235,7 +236,7 @@
 					out.Failures[number] = slices.Clone(t.failures)
 				}
 				if len(t.crashes) > 0 && t.phase != done {
-					out.Crashes[number] = slices.Clone(t.crashes)
+					out.Crashes[number] = t.chargedRuns()
 				}
 				number++
 			}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -54,8 +54,9 @@
 	}
 	if j.inherited == b.token {
 		j.inherited = 0
+		b.giveUpInherited(j, now)
 	}
-	return true
+	return !j.progress.State.Final()
 }
 
 // poolKey selects the workers of a service for a kind of job.
