--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -38,6 +38,8 @@
 	filler      bool
 	serving     bool
 	longRunning bool
+	// suspicion is the number of crashes counted against the task at its start.
+	suspicion int
 	// target is the limit of a serving task's tail latency and latency the
 	// newest report. overTargetSince is since when headroom has been below
 	// nearTargetHeadroom, zero if it is not.
@@ -77,6 +79,10 @@
 // claim assigns a run of the task to a worker and takes its capacity.
 func (b *Board) claim(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) *claim {
 	held := newClaim(step.spec, run, now)
+	if len(t.crashes) > 0 {
+		held.suspicion = len(t.crashes)
+		b.markChanged(j) // the record charges the run in advance
+	}
 	w.addClaim(t.key, held)
 	b.unreserve(t.key)
 	if t.phase == waiting {
@@ -117,6 +123,7 @@
 	w.used = w.used.Add(held.size)
 	w.idle -= held.estimatedUse()
 	w.steps[stepOf(key)]++
+	w.suspicion += held.suspicion
 	if held.serving {
 		w.serving[held.image]++
 	}
@@ -133,6 +140,7 @@
 	if w.steps[stepOf(key)]--; w.steps[stepOf(key)] == 0 {
 		delete(w.steps, stepOf(key))
 	}
+	w.suspicion -= held.suspicion
 	if held.filler {
 		if w.fillers[held.image] -= held.requested; w.fillers[held.image] <= 0 {
 			delete(w.fillers, held.image)
@@ -171,6 +179,9 @@
 	if t == nil || t.phase != claimed || t.run != held.run || t.worker != w.ID {
 		return
 	}
+	if held.suspicion > 0 {
+		b.markChanged(j)
+	}
 	t.phase, t.worker = waiting, ""
 	t.endedAt = now
 	step.waiting++
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -25,6 +25,7 @@
 		b.stopStalled(now)
 	}
 	b.dropReservations(now)
+	b.settleInherited(now)
 	if allowed && !b.fenced {
 		b.place(now)
 	}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -30,6 +30,10 @@
 	checkpoint string
 	// failures lists the runs that failed.
 	failures []int64
+	// crashes lists the runs that may have crashed their workers, since the last
+	// one that ran for a lease term. With those of an earlier leader it may list
+	// the current run.
+	crashes []int64
 	// avoid is the worker on which the task failed last.
 	avoid string
 	// notBefore delays the next start after a refusal.
@@ -197,6 +201,7 @@
 				if placement, ok := progress.Placements[number]; ok {
 					t.lastWorkers = []string{placement}
 				}
+				t.crashes = slices.Clone(progress.Crashes[number])
 				if number/8 < len(progress.Done) && progress.Done[number/8]&(1<<(number%8)) != 0 {
 					j.finish(occ, step, t)
 				}
@@ -226,6 +231,7 @@
 		Failures:         map[int][]int64{},
 		SavedCheckpoints: map[int]string{},
 		Placements:       map[int]string{},
+		Crashes:          map[int][]int64{},
 	}
 	number, bits := 0, []byte{}
 	for _, occ := range j.occurrences {
@@ -236,14 +242,8 @@
 				}
 				if t.phase == done {
 					bits[number/8] |= 1 << (number % 8)
-				} else if t.checkpoint != "" {
-					out.SavedCheckpoints[number] = t.checkpoint
-				}
-				if len(t.failures) > 0 && t.phase != done {
-					out.Failures[number] = slices.Clone(t.failures)
-				}
-				if count := len(t.lastWorkers); step.spec.LongRunning && count > 0 {
-					out.Placements[number] = t.lastWorkers[count-1]
+				} else {
+					t.save(&out, number, step.spec)
 				}
 				number++
 			}
@@ -255,6 +255,22 @@
 	return out
 }
 
+// save adds a task that is not done to a progress record, under its number.
+func (t *task) save(out *work.Progress, number int, spec *work.Step) {
+	if t.checkpoint != "" {
+		out.SavedCheckpoints[number] = t.checkpoint
+	}
+	if len(t.failures) > 0 {
+		out.Failures[number] = slices.Clone(t.failures)
+	}
+	if len(t.crashes) > 0 {
+		out.Crashes[number] = t.chargedRuns()
+	}
+	if count := len(t.lastWorkers); spec.LongRunning && count > 0 {
+		out.Placements[number] = t.lastWorkers[count-1]
+	}
+}
+
 // find returns the task of a key, or nil if the job has none.
 func (j *job) find(key work.TaskKey) (*occurrence, *stepState, *task) {
 	if key.Occurrence >= len(j.occurrences) {
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -12,9 +12,8 @@
 // place goes through the waiting jobs by rank and starts the tasks that fit.
 func (b *Board) place(now time.Time) {
 	candidates := make([]candidate, 0, len(b.open))
-	unsettled := b.unsettledServices(now)
 	for _, j := range b.open {
-		if j.left > j.claims && !j.departing && !b.held(j) && (b.mayStart(j, unsettled) || j.hasLocated) {
+		if j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated) {
 			candidates = append(candidates, candidate{
 				job:  j,
 				rank: b.rankOf(j, now),
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -26,18 +26,14 @@
 	out := Summary{
 		Open: len(b.open),
 	}
-	unsettled := b.unsettledServices(now)
 	for _, j := range b.open {
-		mayStart := b.mayStart(j, unsettled)
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
 				if !occ.ready(step, now) {
 					continue
 				}
 				out.Waiting += step.waiting
-				if !mayStart {
-					out.Delayed += b.delayed(j, step, now)
-				}
+				out.Delayed += b.delayed(j, step, now)
 			}
 		}
 	}
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -34,18 +34,19 @@
 	return out
 }
 
-// mayStart reports whether all tasks of the job are certain not to be running
-// already.
-func (b *Board) mayStart(j *job, unsettled map[string]bool) bool {
-	if j.inherited == 0 {
-		return true
-	}
-	service := b.serviceOf(j)
-	if unsettled[service] || service != j.work.Service && len(unsettled) > 0 {
-		return false // the queue may have moved between services more than once
+// settleInherited frees the inherited jobs of which no task can be running
+// unknown to this leader.
+func (b *Board) settleInherited(now time.Time) {
+	unsettled := b.unsettledServices(now)
+	for _, j := range b.open {
+		service := b.serviceOf(j)
+		if j.inherited == 0 || unsettled[service] ||
+			service != j.work.Service && len(unsettled) > 0 { // the queue may have moved more than once
+			continue
+		}
+		j.inherited = 0
+		b.giveUpInherited(j, now)
 	}
-	j.inherited = 0
-	return true
 }
 
 // addLastWorker records that a task has a run on a worker. Workers that are
@@ -56,13 +57,13 @@
 	}), w.ID)
 }
 
-// mayStartTask reports whether a task of a job that may not start as a whole is
-// certain not to be running already.
+// mayStartTask reports whether a task is certain not to be running already. One
+// that may have crashed its workers waits until all crashes are counted.
 func (b *Board) mayStartTask(j *job, t *task, now time.Time) bool {
 	if j.inherited == 0 {
 		return true
 	}
-	return t.located && len(b.unsettledWorkers(t, now)) == 0
+	return t.located && len(t.crashes) == 0 && len(b.unsettledWorkers(t, now)) == 0
 }
 
 // unsettledWorkers returns the last workers of a task that are not accounted
--- a/internal/process/schedule/takeover_test.go
+++ b/internal/process/schedule/takeover_test.go
@@ -38,6 +38,7 @@
 
 	later := board.earlierLeaseEnd().Add(time.Millisecond)
 	assert.Empty(t, board.Unsettled(later))
+	board.Decide(later, false)
 	assert.Zero(t, board.Summary(later).Delayed)
 }
 
--- a/internal/request/work/progress.go
+++ b/internal/request/work/progress.go
@@ -46,6 +46,9 @@
 	// Placements holds, by task number, the last worker of a long-running task.
 	// It is in the store before the task starts there.
 	Placements map[int]string `cbor:"6,keyasint,omitempty"`
+	// Crashes lists, by task number, the runs that may have crashed their
+	// workers.
+	Crashes map[int][]int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // EncodeJob encodes a job record. Errors: ErrInvalid.
