--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 SEED          ?= 1
 SEEDS         ?= 1 2 3
 FAULTS        ?= 20s
+MIX           ?= all
 
 .PHONY: help
 help: ## list the targets
@@ -20,6 +21,7 @@
 .PHONY: test
 test: ## run all tests with the race detector
 	CGO_ENABLED=1 $(GO) test -race -count=1 ./...
+	@$(GO) test -count=1 -v -run TestKnownRed ./platform/soak
 
 .PHONY: demo
 demo: build ## run a small site with embedded stand-ins, show what it does with evidence, and end
@@ -49,8 +51,8 @@
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 .PHONY: soak
-soak: ## run the fault soak of the real program: SEEDS="1 2 3" FAULTS=20s
-	for seed in $(SEEDS); do CGO_ENABLED=1 $(GO) test -count=1 ./platform/soak -seed $$seed -faults $(FAULTS) || exit 1; done
+soak: ## run the fault soak of the real program: SEEDS="1 2 3" FAULTS=20s MIX=unplanned, planned or all
+	for seed in $(SEEDS); do CGO_ENABLED=1 $(GO) test -count=1 ./platform/soak -seed $$seed -faults $(FAULTS) -mix $(MIX) || exit 1; done
 
 .PHONY: lint
 lint: $(TOOLS)/golangci-lint ## check formatting and style
