--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -48,6 +48,7 @@
 	progressSavedAt time.Time
 	jobsDeletedAt   time.Time
 	roster          rosterState
+	placements      placementsState
 	learned         learnedState
 	writer          writer
 	summarisedAt    time.Time
@@ -94,6 +95,10 @@
 		inherited := result.createRevisions[job.ID] < result.token
 		l.board.AddJob(job, result.progress[job.ID], inherited, now, l.config.TimeOfDay())
 	}
+	if result.placements {
+		l.board.TrustPlacements()
+		t.placements.complete = true
+	}
 	for _, id := range result.cancels {
 		l.board.Cancel(id, now)
 	}
@@ -111,6 +116,9 @@
 // resume continues the term under a new token, if nobody else led in between.
 func (t *term) resume(result *acquisitionResult) {
 	t.token, t.lease, t.unoccupied = result.token, result.lease, false
+	t.placements = placementsState{
+		complete: result.placements,
+	}
 	t.actUntil = result.sent.Add(ActTerm)
 }
 
@@ -344,16 +352,3 @@
 		t.leader.post(func(time.Time) { t.waking = false })
 	})
 }
-
-// summarise logs the state of the schedule once per summaryInterval.
-func (t *term) summarise(now time.Time) {
-	if now.Sub(t.summarisedAt) < summaryInterval {
-		return
-	}
-	t.summarisedAt = now
-	summary := t.leader.board.Summary(now)
-	klog.InfoS("schedule", "shard", t.leader.config.Shard, "token", t.token, "open", summary.Open, "waiting", summary.Waiting, "running", summary.Running,
-		"fillers", summary.Fillers, "serving", summary.Serving, "workers", summary.Workers, "capacity", summary.Capacity,
-		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare,
-		"events", len(t.leader.events), "orders", len(t.waiting))
-}
