--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -14,7 +14,7 @@
 	candidates := make([]candidate, 0, len(b.open))
 	unsettled := b.unsettledServices(now)
 	for _, j := range b.open {
-		if j.left > j.claims && !j.departing && !b.held(j) && (b.mayStart(j, unsettled) || j.located) {
+		if j.left > j.claims && !j.departing && !b.held(j) && (b.mayStart(j, unsettled) || j.hasLocated) {
 			candidates = append(candidates, candidate{
 				job:  j,
 				rank: b.rankOf(j, now),
@@ -146,5 +146,5 @@
 		Spec:       j.work.Spec,
 		Checkpoint: t.checkpoint,
 		Ticket:     step.ticketFor(w.ID),
-	})
+	}, now)
 }
--- a/internal/process/schedule/takeover_test.go
+++ b/internal/process/schedule/takeover_test.go
@@ -178,13 +178,13 @@
 			for _, start := range board.Decide(testStart, true).Starts {
 				assert.NotEqual(t, chosen.ID, start.Worker)
 			}
-			assert.Empty(t, withPlacement(board, chosen.ID))
+			assert.Empty(t, unrecordedStartsOn(board, chosen.ID))
 		})
 	}
 }
 
-// withPlacement returns the starts on a worker that wait for a record.
-func withPlacement(board *Board, id string) []unrecordedStart {
+// unrecordedStartsOn returns the starts on a worker that wait for a record.
+func unrecordedStartsOn(board *Board, id string) []unrecordedStart {
 	var out []unrecordedStart
 	for _, next := range board.unrecordedStarts {
 		if next.start.Worker == id {
@@ -215,3 +215,91 @@
 	assert.Equal(t, "w0", records[0].Progress.Placements[0])
 	assert.True(t, board.PlacementsRecorded(later))
 }
+
+// A gang that runs on two workers outlives a takeover: the worker that reports
+// second must not find the other member stopped.
+func TestTakeoverKeepsGangWhoseMembersReportOneByOne(t *testing.T) {
+	tests := map[string]bool{
+		"batch":        false,
+		"long-running": true,
+	}
+	for name, longRunning := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0", "w1")
+			board.Begin(testToken+10, testStart) // no worker has reported yet
+			step := tasks(2, 1000)
+			step.Gang, step.LongRunning = true, longRunning
+			progress := &work.Progress{
+				Started: true,
+			}
+			if longRunning {
+				progress.Placements = map[int]string{0: "w0", 1: "w1"}
+			}
+			board.AddJob(testJob("gang", "quotes", step), progress, true, testStart, testStart)
+			board.TrustPlacements()
+			member := func(index int) Inventory {
+				return Inventory{
+					Born: testBorn,
+					Running: []RunningTask{{
+						Key: work.TaskKey{
+							Job:   "gang",
+							Index: index,
+						},
+						Run: 7,
+					}},
+					Sent: testStart,
+				}
+			}
+			board.ApplyReport("w0", member(0), testStart)
+			assert.Empty(t, board.Decide(testStart, true).Stops, "the other member may be running on w1")
+			board.ApplyReport("w1", member(1), testStart.Add(10*time.Millisecond))
+			effects := board.Decide(testStart.Add(10*time.Millisecond), true)
+			assert.Empty(t, effects.Stops)
+			assert.Empty(t, effects.Starts)
+		})
+	}
+}
+
+// The queue has moved to another service since a task was started: a worker of
+// the former service does not answer and may still run it.
+func TestMovedQueueWaitsForWorkersOfItsFormerService(t *testing.T) {
+	tests := map[string]*work.Job{
+		"batch":        testJob("a", "quotes", tasks(1, 1000)),
+		"long-running": watcher(),
+	}
+	for name, spec := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			addUnreachable(board, "w1")
+			board.workers["w1"].Service = "annex"
+			spec.Service = "annex"
+			board.AddJob(spec, &work.Progress{
+				Started:    true,
+				Placements: map[int]string{0: "w1"},
+			}, true, testStart, testStart)
+			board.TrustPlacements()
+			assert.Empty(t, decideAndSave(board, testStart).Starts, "it may be running on w1")
+			later := board.earlierLeaseEnd().Add(time.Millisecond)
+			poll(board, "w0", later)
+			assert.Len(t, decideAndSave(board, later).Starts, 1)
+		})
+	}
+}
+
+// Load pattern: the store is slow while many long-running tasks are placed. Their
+// starts must not fill the queue of orders at once.
+func TestRecordedStartsKeepTheLimitOfStarts(t *testing.T) {
+	board := testBoard("w0", "w1")
+	step := tasks(8, 1000)
+	step.LongRunning = true
+	board.AddJob(testJob("watcher", "quotes", step), nil, false, testStart, testStart)
+	for range step.Count { // the store does not answer meanwhile
+		board.LimitStarts(1)
+		require.Empty(t, board.Decide(testStart, true).Starts)
+	}
+	save(board)
+	for range step.Count {
+		board.LimitStarts(1)
+		assert.Len(t, board.Decide(testStart, true).Starts, 1)
+	}
+}
