--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,6 @@
 .PHONY: test
 test: ## run all tests with the race detector
 	CGO_ENABLED=1 $(GO) test -race -count=1 ./...
-	@$(GO) test -count=1 -v -run TestKnownRed ./platform/soak
 
 .PHONY: demo
 demo: build ## run a small site with embedded stand-ins, show what it does with evidence, and end
