--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -74,7 +74,7 @@
 		if held == nil || held.run != start.Run || !held.stopping.IsZero() {
 			continue
 		}
-		if w.Draining || b.evacuated[w.Zone] {
+		if w.Draining || b.evacuated[w.Zone] || b.overcommitted(w) {
 			b.stop(w.ID, start.Key, start.Run, "no_answer")
 			continue
 		}
@@ -89,6 +89,12 @@
 	b.pendingRetries = later
 }
 
+// overcommitted reports whether a worker that accepts more than its capacity has
+// claims for more: its capacity has shrunk since they were made.
+func (b *Board) overcommitted(w *workerState) bool {
+	return !b.catalog.Services[w.Service].EnforcesCapacity && !w.used.FitsIn(w.Capacity)
+}
+
 // retryStops repeats the stops of runs that must end, unless one is pending or
 // was answered.
 func (b *Board) retryStops() {
