--- a/internal/process/schedule/crashes.go
+++ b/internal/process/schedule/crashes.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// enoughCrashes is the least number of crashes for which callers accept that
+	// a job fails.
+	enoughCrashes = 2
 	// maxCrashes is how many workers may crash under a task, each shortly after
 	// it started there, before its job fails. Two happen to tasks that only ran
 	// beside the cause.
@@ -49,8 +52,9 @@
 }
 
 // suspectsOn returns the runs that the worker may have crashed under. Runs that
-// it has listed for a whole lease term did not crash it by their start, and
-// starts without an answer may not have reached it.
+// it has listed for a whole lease term did not crash it by their start. Starts
+// without an answer may not have reached it, but a worker may crash before it
+// answers: they count for tasks with enough crashes besides.
 func (b *Board) suspectsOn(w *workerState) []suspectRun {
 	if w.Draining || b.sharesFate(w) {
 		return nil
@@ -58,7 +62,8 @@
 	var out []suspectRun
 	for key, held := range w.claims {
 		j := b.open[key.Job]
-		if j == nil || !held.confirmed || held.orphaned || held.outlived(b.config.LeaseTerm) {
+		reached := held.confirmed || held.unanswered > 0 && held.suspicion >= enoughCrashes
+		if j == nil || !reached || held.orphaned || held.outlived(b.config.LeaseTerm) {
 			continue
 		}
 		out = append(out, suspectRun{
--- a/internal/process/schedule/crashes_test.go
+++ b/internal/process/schedule/crashes_test.go
@@ -351,6 +351,22 @@
 	assert.Empty(t, fleet.board.jobs["a"].occurrences[0].steps[0].tasks[0].crashes)
 }
 
+// A worker may crash before it answers a start: one task was started six times.
+func TestUnansweredStartOfProvenSuspectCounts(t *testing.T) {
+	fleet := newCrashFleet(3)
+	fleet.submit(testJob("a", "plans", tasks(1, 1000)))
+	for range enoughCrashes {
+		starts := fleet.decide()
+		require.Len(t, starts, 1)
+		fleet.replace(starts[0].Worker)
+	}
+	effects := fleet.board.Decide(fleet.now, true)
+	require.Len(t, effects.Starts, 1)
+	fleet.board.StartReplied(effects.Starts[0], Unknown, fleet.now)
+	fleet.replace(effects.Starts[0].Worker)
+	assert.Equal(t, work.Failed, fleet.board.jobs["a"].progress.State)
+}
+
 // Crashes count only in a row: a long-running task has outlived its worker's
 // start of it many times before the third crash of its life.
 func TestRunThatLastsClearsItsTask(t *testing.T) {
