--- a/internal/process/schedule/placements.go
+++ b/internal/process/schedule/placements.go
@@ -41,7 +41,7 @@
 		held := w.claims[next.start.Key]
 		switch {
 		case held == nil || held.run != next.start.Run || !held.stopping.IsZero() || !held.barred.IsZero():
-		case !b.usable(w, now):
+		case !b.usable(w, now) || b.overcommitted(w):
 			b.release(w, next.start.Key, now)
 		case j.durable < next.version || b.startsLeft <= 0:
 			later = append(later, next)
--- a/internal/process/schedule/takeover_test.go
+++ b/internal/process/schedule/takeover_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardreach.example/mustardreach/internal/request/work"
+	"mustardreach.example/mustardreach/internal/version/catalog"
 )
 
 // addUnreachable adds a worker of an earlier term that does not answer.
@@ -164,6 +165,16 @@
 		"zone is withdrawn": func(board *Board, _ *workerState) {
 			board.Evacuate(map[string]bool{"recife": true})
 		},
+		"unguarded capacity has shrunk": func(board *Board, chosen *workerState) {
+			board.SetCatalog(&catalog.Catalog{
+				Services: map[string]catalog.Service{
+					"workshop": {
+						Name: "workshop",
+					},
+				},
+			})
+			chosen.Capacity.MilliCores = 500
+		},
 		"job is cancelled": func(board *Board, _ *workerState) {
 			board.Cancel("watcher", testStart)
 		},
