--- a/internal/process/store/watcher.go
+++ b/internal/process/store/watcher.go
@@ -31,7 +31,8 @@
 	Prefix string
 	// Wait is how long one call waits for changes.
 	Wait time.Duration
-	// Gap is the pause between calls; it lets changes arrive in batches.
+	// Gap is the pause between calls; it lets changes arrive in batches. There is
+	// none after a large batch.
 	Gap time.Duration
 	// Timeout bounds a call that waits for changes beyond Wait.
 	Timeout time.Duration
@@ -48,6 +49,8 @@
 	listed bool
 	// reader holds the keys read so far while listed is false.
 	reader *Reader
+	// events is the number of changes in the newest answer.
+	events int
 }
 
 // NewWatcher returns a watcher that begins by reading all keys.
@@ -65,6 +68,10 @@
 	maxRetryDelay     = 500 * time.Millisecond
 )
 
+// largeBatch is the number of changes from which an answer may have been cut
+// short: stores limit the changes of an answer.
+const largeBatch = 200
+
 // Run follows the prefix until the context ends. A failed call is retried with
 // exponential backoff; after a compaction all keys are listed again.
 func (w *Watcher) Run(ctx context.Context) {
@@ -83,7 +90,9 @@
 			}
 			failed = false
 			retryDelay.Reset()
-			w.sleep(ctx, w.config.Gap)
+			if w.events < largeBatch {
+				w.sleep(ctx, w.config.Gap)
+			}
 			continue
 		case errors.Is(err, ErrCompacted):
 			klog.InfoS("store history gone, reading all again", "prefix", w.config.Prefix, "revision", w.revision)
@@ -117,6 +126,7 @@
 // poll lists the keys, or waits once for changes, and reports the view.
 func (w *Watcher) poll(ctx context.Context) error {
 	sentAt := w.config.Clock()
+	w.events = 0
 	if !w.listed {
 		if w.reader == nil {
 			w.reader = NewReader(w.config.Client, w.config.Prefix)
@@ -143,7 +153,7 @@
 	if changes.Revision < w.revision {
 		return nil // an answer older than the last one has nothing new
 	}
-	w.revision = changes.Revision
+	w.revision, w.events = changes.Revision, len(changes.Events)
 	w.config.OnView(View{
 		Events:   changes.Events,
 		Revision: changes.Revision,
