--- a/internal/process/leader/acquisition.go
+++ b/internal/process/leader/acquisition.go
@@ -164,20 +164,20 @@
 
 // load reads the roster, the learned state, the jobs and their progress.
 func (a *acquisition) load(ctx context.Context, result *acquisitionResult) error {
-	client, keys := a.leader.config.Store, &a.leader.config.Keys
-	roster, err := client.Get(ctx, keys.Roster)
+	keys := &a.leader.config.Keys
+	roster, err := a.read(ctx, keys.Roster)
 	if err == nil {
 		err = cbor.Unmarshal(roster.Value, &result.roster)
 	}
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		return fmt.Errorf("read key %s: %w", keys.Roster, err)
 	}
-	sequence, err := client.Get(ctx, keys.Sequence)
+	sequence, err := a.read(ctx, keys.Sequence)
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		return fmt.Errorf("read key %s: %w", keys.Sequence, err)
 	}
 	result.sequence = sequence.Revision
-	learned, err := client.Get(ctx, keys.Learned)
+	learned, err := a.read(ctx, keys.Learned)
 	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		return fmt.Errorf("read key %s: %w", keys.Learned, err)
 	}
@@ -211,6 +211,24 @@
 	return nil
 }
 
+// read reads one key, again after a failure until the context ends. Errors:
+// store.ErrAbsent, and other errors of the store once the context has ended.
+func (a *acquisition) read(ctx context.Context, key string) (store.Item, error) {
+	for {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		item, err := a.leader.config.Store.Get(limited, key)
+		cancel()
+		if err == nil || errors.Is(err, store.ErrAbsent) {
+			return item, err
+		}
+		select {
+		case <-ctx.Done():
+			return item, err
+		case <-time.After(pageRetryGap):
+		}
+	}
+}
+
 // readAll reads all keys under a prefix. A failed page is read again until the
 // context ends.
 func (a *acquisition) readAll(ctx context.Context, prefix string) (store.Listing, error) {
--- a/internal/process/leader/handover.go
+++ b/internal/process/leader/handover.go
@@ -63,7 +63,7 @@
 // leader has led since it was written. Errors: those of the store.
 func (a *acquisition) loadHandover(ctx context.Context, result *acquisitionResult) error {
 	key := a.leader.config.Keys.Handover
-	item, err := a.leader.config.Store.Get(ctx, key)
+	item, err := a.read(ctx, key)
 	if errors.Is(err, store.ErrAbsent) {
 		return nil
 	}
