--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -506,16 +506,21 @@
 	}
 }
 
+// runWithFaults submits jobs and injects faults for twelve seconds.
+func (sim *simulation) runWithFaults() {
+	for range 120 {
+		if sim.next < 6 && rapid.IntRange(0, 4).Draw(sim.t, "submit") == 0 {
+			sim.submit()
+		}
+		sim.injectFault()
+		sim.tick()
+	}
+}
+
 func TestNoTaskRunsTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
-		for range 120 {
-			if sim.next < 6 && rapid.IntRange(0, 4).Draw(t, "submit") == 0 {
-				sim.submit()
-			}
-			sim.injectFault()
-			sim.tick()
-		}
+		sim.runWithFaults()
 	})
 }
 
@@ -525,13 +530,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
 		sim.longRunning = true
-		for range 120 {
-			if sim.next < 6 && rapid.IntRange(0, 4).Draw(t, "submit") == 0 {
-				sim.submit()
-			}
-			sim.injectFault()
-			sim.tick()
-		}
+		sim.runWithFaults()
 	})
 }
 
@@ -541,13 +540,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
 		sim.longRunning, sim.resigns = true, true
-		for range 120 {
-			if sim.next < 6 && rapid.IntRange(0, 4).Draw(t, "submit") == 0 {
-				sim.submit()
-			}
-			sim.injectFault()
-			sim.tick()
-		}
+		sim.runWithFaults()
 	})
 }
 
