--- a/internal/request/work/job.go
+++ b/internal/request/work/job.go
@@ -88,6 +88,12 @@
 	Interval time.Duration `cbor:"8,keyasint,omitempty"`
 	// Accepted is the time of day at which the job was submitted.
 	Accepted time.Time `cbor:"9,keyasint"`
+	// Organisation owns the job; empty if the job came through a public queue or
+	// the configuration has no organisations.
+	Organisation string `cbor:"10,keyasint,omitempty"`
+	// EntryZone is the availability zone of the host that accepted the job; empty
+	// if an earlier release accepted it.
+	EntryZone string `cbor:"11,keyasint,omitempty"`
 }
 
 // Occurrences returns how often the steps run, at least once.
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -5,6 +5,8 @@
 import (
 	"strings"
 	"time"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
 )
 
 // Queue accepts jobs of one kind.
@@ -33,6 +35,20 @@
 	// MinTicketTerm.
 	RequiresTicket                                 bool
 	TicketTime, TicketTimePerWorker, MinTicketTerm time.Duration
+	// Public queues accept calls without a key.
+	Public bool
+}
+
+// Organisation is a customer whose jobs share the workers with those of other
+// organisations.
+type Organisation struct {
+	Name string
+	// Weight is its share of the capacity relative to other organisations when
+	// capacity is short; it is above zero.
+	Weight float64
+	// Limit is the most that its tasks may have running on all workers together;
+	// zero in a resource means no limit.
+	Limit worker.Size
 }
 
 // Service is a pool of workers.
@@ -50,6 +66,9 @@
 	Version  int64
 	Queues   map[string]Queue
 	Services map[string]Service
+	// Organisations holds the organisations by name. It is empty in a deployment
+	// without organisations, where calls need no key.
+	Organisations map[string]Organisation
 	// MaxBodyBytes limits the size of a caller's request body.
 	MaxBodyBytes int64
 }
