--- a/internal/request/intake/cancel.go
+++ b/internal/request/intake/cancel.go
@@ -43,7 +43,7 @@
 					Key: at.keys.Cancel(id),
 				},
 			},
-		})
+		}, nil)
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
--- a/internal/request/intake/home_test.go
+++ b/internal/request/intake/home_test.go
@@ -45,6 +45,7 @@
 				State: work.Running,
 			}
 		},
+		Reachable:      func() bool { return true },
 		Clock:          time.Now,
 		Counts:         new(expvar.Map).Init(),
 		RecordDuration: func(string, time.Duration) {},
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -52,6 +52,8 @@
 	// Ask queries the leader of a shard. Known is false in the answer if the
 	// leader cannot be reached.
 	Ask func(ctx context.Context, question leader.Question) leader.Answer
+	// Reachable reports whether this host is expected to reach the store.
+	Reachable func() bool
 	// Clock returns the time that durations are measured with.
 	Clock func() time.Time
 	// Counts counts outcomes by kind of request. RecordDuration records the
@@ -110,7 +112,7 @@
 	if err != nil {
 		return NotAccepted, 0, err
 	}
-	revision, err := i.write(ctx, i.submission(job, value))
+	revision, err := i.write(ctx, i.submission(job, value), func() bool { return i.leaderKnows(ctx, job.ID) })
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
@@ -123,6 +125,12 @@
 	return NotAccepted, 0, err
 }
 
+// leaderKnows reports whether a leader has seen the job's record in the store.
+func (i *Intake) leaderKnows(ctx context.Context, id string) bool {
+	_, known := i.askUsual(ctx, id)
+	return known
+}
+
 // existingRevision returns the revision of the job that is already stored under
 // the id, zero if the conflict does not name it. A differing job is logged: a
 // caller that reuses an id gets the first job.
@@ -141,20 +149,32 @@
 // take effect late, later rejections prove nothing: only a commit or a conflict
 // does. Errors: store.ErrUnknown if the commit may have taken effect or may yet
 // do so; a conflict, possibly with an earlier attempt of the same write;
-// otherwise the store's error, without any effect of the commit.
-func (i *Intake) write(ctx context.Context, commit store.Commit) (int64, error) {
+// otherwise the store's error, without any effect of the commit. While the store
+// is unreachable nothing is sent: the caller can try another host in the time
+// that the attempts would take. After the first attempt without an answer,
+// confirmed may report that the commit is known to be in the store from another
+// source; it may be nil. The revision is zero then.
+func (i *Intake) write(ctx context.Context, commit store.Commit, confirmed func() bool) (int64, error) {
 	retryBackoff := backoff.NewExponentialBackOff()
 	retryBackoff.InitialInterval = initialRetryDelay
 	retryBackoff.MaxInterval = maxRetryDelay
 	mayHaveCommitted, attempts := false, 1
 	for {
+		if !mayHaveCommitted && !i.config.Reachable() {
+			return 0, store.ErrUnavailable
+		}
 		limited, cancel := context.WithTimeout(ctx, attemptTimeout)
 		revision, err := i.config.Store.Commit(limited, commit)
 		cancel()
 		if !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrUnknown) {
 			return revision, err
 		}
-		mayHaveCommitted = mayHaveCommitted || errors.Is(err, store.ErrUnknown)
+		if !mayHaveCommitted && errors.Is(err, store.ErrUnknown) {
+			mayHaveCommitted = true
+			if confirmed != nil && confirmed() {
+				return 0, nil
+			}
+		}
 		if !mayHaveCommitted && attempts >= maxRejectedAttempts {
 			return 0, err
 		}
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -25,6 +25,7 @@
 		Ask: func(context.Context, leader.Question) leader.Answer {
 			return leader.Answer{}
 		},
+		Reachable:      func() bool { return true },
 		Clock:          time.Now,
 		Counts:         new(expvar.Map).Init(),
 		RecordDuration: func(string, time.Duration) {},
--- a/internal/request/intake/state.go
+++ b/internal/request/intake/state.go
@@ -30,25 +30,30 @@
 // askState asks the leader of the shard that the layout names, and then that of
 // the shard that the job has moved to.
 func (i *Intake) askState(ctx context.Context, id string) (work.State, bool) {
-	usual := i.config.Layout.OfJob(id)
-	answer := i.config.Ask(ctx, leader.Question{
-		Job:   id,
-		Shard: usual,
-	})
-	if answer.Known || i.config.Layout.Shards <= 1 {
-		return answer.State, answer.Known
+	state, known := i.askUsual(ctx, id)
+	if known || i.config.Layout.Shards <= 1 {
+		return state, known
 	}
 	at, err := i.locate(ctx, id)
-	if err != nil || at.shard == usual {
+	if err != nil || at.shard == i.config.Layout.OfJob(id) {
 		return work.Queued, false
 	}
-	answer = i.config.Ask(ctx, leader.Question{
+	answer := i.config.Ask(ctx, leader.Question{
 		Job:   id,
 		Shard: at.shard,
 	})
 	return answer.State, answer.Known
 }
 
+// askUsual asks the leader of the shard that the layout names.
+func (i *Intake) askUsual(ctx context.Context, id string) (work.State, bool) {
+	answer := i.config.Ask(ctx, leader.Question{
+		Job:   id,
+		Shard: i.config.Layout.OfJob(id),
+	})
+	return answer.State, answer.Known
+}
+
 // readState derives a job's state from its records in the store.
 func (i *Intake) readState(ctx context.Context, id string) (work.State, Outcome) {
 	at, err := i.locate(ctx, id)
