Keys and organisations at the callers' interface

Cause: deployments with organisations need every call to be authenticated, and jobs to carry their owner; without it all calls were served and all jobs visible to everybody. Queries, cancellations and repeated submissions check the owner: the leader's answer carries it (two optional CBOR fields), otherwise the job's record is read. Ruled out: a read of the job's record for each query, which costs a call where the leader knows the owner already; an accessor of the schedule for the owner, which another part is changing, so the term keeps it beside the revisions of the records.

--- a/internal/connection/inquiry/inquiry.go
+++ b/internal/connection/inquiry/inquiry.go
@@ -174,10 +174,12 @@
 		Shard: question.Shard,
 	}, func(answer leader.Answer) {
 		err := c.config.Hub.Send(host, message.KindAnswer, message.Answer{
-			Number:  question.Number,
-			Known:   answer.Known,
-			State:   uint8(answer.State),
-			Pending: answer.Pending,
+			Number:       question.Number,
+			Known:        answer.Known,
+			State:        uint8(answer.State),
+			Pending:      answer.Pending,
+			OwnerKnown:   answer.OwnerKnown,
+			Organisation: answer.Organisation,
 		})
 		if err != nil {
 			klog.InfoS("answer not sent", "host", host, "job", question.Job, "err", err)
@@ -196,9 +198,11 @@
 	}
 	select {
 	case result <- leader.Answer{
-		Known:   answer.Known,
-		State:   work.State(answer.State),
-		Pending: answer.Pending,
+		Known:        answer.Known,
+		State:        work.State(answer.State),
+		Pending:      answer.Pending,
+		OwnerKnown:   answer.OwnerKnown,
+		Organisation: answer.Organisation,
 	}:
 	default:
 	}
--- a/internal/connection/message/message.go
+++ b/internal/connection/message/message.go
@@ -209,6 +209,10 @@
 	// the queue.
 	State   uint8 `cbor:"3,keyasint,omitempty"`
 	Pending int   `cbor:"4,keyasint,omitempty"`
+	// OwnerKnown is set if Organisation is the job's, empty for a job of none. A
+	// leader of an earlier release sends neither.
+	OwnerKnown   bool   `cbor:"5,keyasint,omitempty"`
+	Organisation string `cbor:"6,keyasint,omitempty"`
 }
 
 var (
--- a/internal/connection/message/message_test.go
+++ b/internal/connection/message/message_test.go
@@ -103,3 +103,42 @@
 		_, _ = Open[Handover](envelope)
 	})
 }
+
+// Hosts of both releases run side by side during an upgrade: an answer without
+// the owner must not read as the answer about a job of no organisation, and the
+// new fields must not disturb an earlier release.
+func TestAnswerOfBothReleases(t *testing.T) {
+	type earlierAnswer struct {
+		Number  uint64 `cbor:"1,keyasint"`
+		Known   bool   `cbor:"2,keyasint,omitempty"`
+		State   uint8  `cbor:"3,keyasint,omitempty"`
+		Pending int    `cbor:"4,keyasint,omitempty"`
+	}
+	earlier := earlierAnswer{
+		Number: 7,
+		Known:  true,
+		State:  1,
+	}
+	frame, err := Encode(KindAnswer, earlier)
+	require.NoError(t, err)
+	envelope, err := Decode(frame)
+	require.NoError(t, err)
+	received, err := Open[Answer](envelope)
+	require.NoError(t, err)
+	assert.True(t, received.Known)
+	assert.False(t, received.OwnerKnown)
+
+	frame, err = Encode(KindAnswer, Answer{
+		Number:       7,
+		Known:        true,
+		State:        1,
+		OwnerKnown:   true,
+		Organisation: "paper",
+	})
+	require.NoError(t, err)
+	envelope, err = Decode(frame)
+	require.NoError(t, err)
+	read, err := Open[earlierAnswer](envelope)
+	require.NoError(t, err)
+	assert.Equal(t, earlier, read)
+}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -164,6 +164,10 @@
 	Known   bool
 	State   work.State
 	Pending int
+	// OwnerKnown is set if Organisation is the job's, empty for a job of none. A
+	// leader of an earlier release does not know it.
+	OwnerKnown   bool
+	Organisation string
 }
 
 // Ask answers a question if this host leads the shard. It calls reply once, with the zero
@@ -189,8 +193,10 @@
 	}
 	state, known := l.board.State(question.Job)
 	return Answer{
-		Known: known,
-		State: state,
+		Known:        known,
+		State:        state,
+		OwnerKnown:   known,
+		Organisation: l.term.owners[question.Job],
 	}
 }
 
--- a/internal/process/leader/moves.go
+++ b/internal/process/leader/moves.go
@@ -166,6 +166,7 @@
 			board.Departed(move.Job.ID)
 			m.term.removed.add(move.Job.ID, m.revisions[move.Job.ID], now)
 			delete(m.revisions, move.Job.ID)
+			m.term.owners.remove(move.Job.ID)
 			m.term.leader.config.Counts.Add("jobs_moved", 1)
 		} else {
 			board.Stay(move.Job.ID)
--- a/internal/process/leader/observe.go
+++ b/internal/process/leader/observe.go
@@ -123,6 +123,7 @@
 		return
 	}
 	t.moves.revisions[job.ID] = item.Revision
+	t.owners.add(job)
 	klog.InfoS("job seen", "job", job.ID, "queue", job.Queue, "revision", item.Revision)
 	t.leader.board.AddJob(job, nil, item.CreateRevision < t.firstToken, now, t.leader.config.TimeOfDay())
 	if t.leader.config.UsualShard(job.ID) != t.leader.config.Shard {
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -173,6 +173,7 @@
 	for _, id := range ids {
 		t.removed.add(id, t.moves.revisions[id], now)
 		delete(t.moves.revisions, id)
+		t.owners.remove(id)
 		commit.Delete = append(commit.Delete, t.keys().Job(id), t.keys().Cancel(id), t.keys().State(id), MovedKey(id))
 	}
 	t.writer.add(&pendingCommit{
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -53,6 +53,7 @@
 	waking          bool
 	moves           moves
 	removed         removedJobs
+	owners          owners
 }
 
 func (t *term) keys() *Keys {
@@ -76,6 +77,7 @@
 		listFailedAt: now,
 		links:        map[string]*link{},
 		removed:      removedJobs{},
+		owners:       owners{},
 	}
 	t.writer = writer{
 		term:     t,
@@ -91,6 +93,7 @@
 	l.board.AddRoster(result.roster, now)
 	t.roster.stored = rosterTargets(result.roster)
 	for _, job := range result.jobs {
+		t.owners.add(job)
 		inherited := result.createRevisions[job.ID] < result.token
 		l.board.AddJob(job, result.progress[job.ID], inherited, now, l.config.TimeOfDay())
 	}
--- a/internal/request/intake/cancel.go
+++ b/internal/request/intake/cancel.go
@@ -10,9 +10,9 @@
 )
 
 // Cancel stores the cancellation of a job.
-func (i *Intake) Cancel(ctx context.Context, id string) Outcome {
+func (i *Intake) Cancel(ctx context.Context, access Access, id string) Outcome {
 	started := i.config.Clock()
-	outcome, err := i.cancel(ctx, id)
+	outcome, err := i.cancel(ctx, access, id)
 	i.config.Counts.Add("cancel_"+outcome.String(), 1)
 	i.config.RecordDuration("cancel", i.config.Clock().Sub(started))
 	klog.InfoS("cancellation requested", "job", id, "outcome", outcome, "took", i.config.Clock().Sub(started), "err", err)
@@ -22,7 +22,7 @@
 // cancel writes the cancellation beside the job's record. The condition on that
 // record fails if the job has moved or was deleted meanwhile; then it is looked
 // for again.
-func (i *Intake) cancel(ctx context.Context, id string) (Outcome, error) {
+func (i *Intake) cancel(ctx context.Context, access Access, id string) (Outcome, error) {
 	for range maxMoves {
 		item, at, err := i.find(ctx, id)
 		if errors.Is(err, store.ErrAbsent) {
@@ -31,6 +31,11 @@
 		if err != nil {
 			return NotAccepted, err
 		}
+		if err := access.check(item); errors.Is(err, errNotPermitted) {
+			return i.denied(id, access), nil
+		} else if err != nil {
+			return NotAccepted, err
+		}
 		_, err = i.write(ctx, store.Commit{
 			If: []store.Condition{
 				{
--- a/internal/request/intake/home_test.go
+++ b/internal/request/intake/home_test.go
@@ -51,9 +51,10 @@
 	})
 }
 
-// move moves a job's record as a leader does.
-func move(t *testing.T, memory *standin.Memory, id string, from, to int) {
+// move moves the record of job "a" as a leader does.
+func move(t *testing.T, memory *standin.Memory, from, to int) {
 	t.Helper()
+	const id = "a"
 	source, target := leader.KeysOf(from, 4), leader.KeysOf(to, 4)
 	item, err := memory.Client().Get(t.Context(), source.Job(id))
 	require.NoError(t, err)
@@ -122,21 +123,21 @@
 			intake := shardedIntake(memory, nil)
 			job := testJob()
 			job.Steps[0].Rack = test.rack
-			require.Equal(t, Accepted, intake.Submit(t.Context(), job))
+			require.Equal(t, Accepted, intake.Submit(t.Context(), Access{}, job))
 			at := jobKeys(memory, "a")[0]
 			for _, next := range test.moves {
-				move(t, memory, "a", at, next)
+				move(t, memory, at, next)
 				at = next
 			}
-			require.Equal(t, Accepted, intake.Submit(t.Context(), job), "the caller repeats its submission")
+			require.Equal(t, Accepted, intake.Submit(t.Context(), Access{}, job), "the caller repeats its submission")
 			assert.Equal(t, []int{test.want}, jobKeys(memory, "a"))
-			state, outcome := intake.State(t.Context(), "a")
+			state, outcome := intake.State(t.Context(), Access{}, "a")
 			assert.Equal(t, Accepted, outcome)
 			assert.Equal(t, work.Queued, state)
-			assert.Equal(t, Accepted, intake.Cancel(t.Context(), "a"))
+			assert.Equal(t, Accepted, intake.Cancel(t.Context(), Access{}, "a"))
 			_, err := memory.Client().Get(t.Context(), leader.KeysOf(test.want, 4).Cancel("a"))
 			require.NoError(t, err, "the leader of the job's shard sees the cancellation")
-			state, _ = intake.State(t.Context(), "a")
+			state, _ = intake.State(t.Context(), Access{}, "a")
 			assert.Equal(t, work.Cancelled, state)
 		})
 	}
@@ -149,9 +150,9 @@
 	intake := shardedIntake(memory, map[int]string{
 		other: "a",
 	})
-	require.Equal(t, Accepted, intake.Submit(t.Context(), testJob()))
-	move(t, memory, "a", fourShards.OfJob("a"), other)
-	state, outcome := intake.State(t.Context(), "a")
+	require.Equal(t, Accepted, intake.Submit(t.Context(), Access{}, testJob()))
+	move(t, memory, fourShards.OfJob("a"), other)
+	state, outcome := intake.State(t.Context(), Access{}, "a")
 	assert.Equal(t, Accepted, outcome)
 	assert.Equal(t, work.Running, state)
 }
@@ -161,22 +162,22 @@
 func TestJobThatMovesWhileItIsReadIsFound(t *testing.T) {
 	memory := standin.NewMemory(time.Now)
 	intake := shardedIntake(memory, nil)
-	require.Equal(t, Accepted, intake.Submit(t.Context(), testJob()))
+	require.Equal(t, Accepted, intake.Submit(t.Context(), Access{}, testJob()))
 	usual := fourShards.OfJob("a")
 	gets := 0
 	memory.SetFault(func(call string) error {
 		if call == "get" {
 			if gets++; gets == 2 { // the home has been read, the job has not
-				move(t, memory, "a", usual, (usual+1)%4)
+				move(t, memory, usual, (usual+1)%4)
 			}
 		}
 		return nil
 	}, false)
-	_, outcome := intake.State(t.Context(), "a")
+	_, outcome := intake.State(t.Context(), Access{}, "a")
 	assert.Equal(t, Accepted, outcome)
 	gets = 0
 	memory.SetFault(func(string) error { return nil }, false)
-	_, outcome = intake.State(t.Context(), "b")
+	_, outcome = intake.State(t.Context(), Access{}, "b")
 	assert.Equal(t, NoSuchJob, outcome)
 }
 
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -33,11 +33,15 @@
 	// Unknown means that the request may have had an effect or may yet have
 	// one, or that the state of the job cannot be read.
 	Unknown
-	// NoSuchJob means that the store has no job with that id.
+	// NoSuchJob means that the store has no job with that id to which the caller
+	// has access.
 	NoSuchJob
+	// IDInUse means that another organisation has a job with that id. The request
+	// has had no effect.
+	IDInUse
 )
 
-var outcomeNames = [...]string{"taken", "not_taken", "unknown", "no_such_job"}
+var outcomeNames = [...]string{"taken", "not_taken", "unknown", "no_such_job", "id_in_use"}
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string {
@@ -95,17 +99,17 @@
 )
 
 // Submit stores a job, once for each id, by the end of the context.
-func (i *Intake) Submit(ctx context.Context, job *work.Job) Outcome {
+func (i *Intake) Submit(ctx context.Context, access Access, job *work.Job) Outcome {
 	started := i.config.Clock()
-	outcome, revision, err := i.submit(ctx, job)
+	outcome, revision, err := i.submit(ctx, access, job)
 	i.config.Counts.Add("submit_"+outcome.String(), 1)
 	i.config.RecordDuration("submit", i.config.Clock().Sub(started))
-	klog.InfoS("job submitted", "job", job.ID, "queue", job.Queue, "service", job.Service, "steps", len(job.Steps),
+	klog.InfoS("job submitted", "job", job.ID, "queue", job.Queue, "service", job.Service, "organisation", job.Organisation, "steps", len(job.Steps),
 		"outcome", outcome, "revision", revision, "took", i.config.Clock().Sub(started), "err", err)
 	return outcome
 }
 
-func (i *Intake) submit(ctx context.Context, job *work.Job) (Outcome, int64, error) {
+func (i *Intake) submit(ctx context.Context, access Access, job *work.Job) (Outcome, int64, error) {
 	value, err := work.EncodeJob(job)
 	if err != nil {
 		return NotAccepted, 0, err
@@ -116,7 +120,7 @@
 	case err == nil:
 		return Accepted, revision, nil
 	case errors.As(err, &conflict):
-		return Accepted, i.existingRevision(conflict, value, job), nil
+		return i.existing(ctx, access, conflict, job.ID), i.existingRevision(conflict, value, job), nil
 	case errors.Is(err, store.ErrUnknown):
 		return Unknown, 0, err
 	}
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -97,7 +97,7 @@
 			}, tt.hold)
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
-			got := testIntake(memory).Submit(ctx, testJob())
+			got := testIntake(memory).Submit(ctx, Access{}, testJob())
 			assert.Equal(t, tt.want.String(), got.String())
 			_, err := memory.Client().Get(context.Background(), leader.KeysOf(0, 1).Job("a"))
 			assert.Equal(t, tt.stored, err == nil)
@@ -122,7 +122,7 @@
 	}, true)
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
-	assert.Equal(t, Unknown, testIntake(memory).Submit(ctx, testJob()))
+	assert.Equal(t, Unknown, testIntake(memory).Submit(ctx, Access{}, testJob()))
 }
 
 // A caller that reuses an id, as in a retry, gets the first job; the second
@@ -132,8 +132,8 @@
 	intake := testIntake(memory)
 	first, second := testJob(), testJob()
 	second.Spec = "another"
-	require.Equal(t, Accepted, intake.Submit(context.Background(), first))
-	require.Equal(t, Accepted, intake.Submit(context.Background(), second))
+	require.Equal(t, Accepted, intake.Submit(context.Background(), Access{}, first))
+	require.Equal(t, Accepted, intake.Submit(context.Background(), Access{}, second))
 	item, err := memory.Client().Get(context.Background(), leader.KeysOf(0, 1).Job("a"))
 	require.NoError(t, err)
 	stored, err := work.DecodeJob(item.Value)
@@ -146,24 +146,24 @@
 func TestStateWithoutLeader(t *testing.T) {
 	memory := standin.NewMemory(time.Now)
 	intake := testIntake(memory)
-	_, outcome := intake.State(context.Background(), "a")
+	_, outcome := intake.State(context.Background(), Access{}, "a")
 	assert.Equal(t, NoSuchJob, outcome)
 
-	require.Equal(t, Accepted, intake.Submit(context.Background(), testJob()))
-	state, outcome := intake.State(context.Background(), "a")
+	require.Equal(t, Accepted, intake.Submit(context.Background(), Access{}, testJob()))
+	state, outcome := intake.State(context.Background(), Access{}, "a")
 	assert.Equal(t, Accepted, outcome)
 	assert.Equal(t, work.Queued, state)
 
-	require.Equal(t, Accepted, intake.Cancel(context.Background(), "a"))
-	state, _ = intake.State(context.Background(), "a")
+	require.Equal(t, Accepted, intake.Cancel(context.Background(), Access{}, "a"))
+	state, _ = intake.State(context.Background(), Access{}, "a")
 	assert.Equal(t, work.Cancelled, state)
 
 	memory.SetFault(func(string) error { return store.ErrUnavailable }, false)
-	_, outcome = intake.State(context.Background(), "a")
+	_, outcome = intake.State(context.Background(), Access{}, "a")
 	assert.Equal(t, Unknown, outcome, "an unavailable store does not mean that there is no such job")
 }
 
 func TestCancelUnknownJob(t *testing.T) {
 	memory := standin.NewMemory(time.Now)
-	assert.Equal(t, NoSuchJob, testIntake(memory).Cancel(context.Background(), "a"))
+	assert.Equal(t, NoSuchJob, testIntake(memory).Cancel(context.Background(), Access{}, "a"))
 }
--- a/internal/request/intake/state.go
+++ b/internal/request/intake/state.go
@@ -13,13 +13,20 @@
 
 // State returns the state of a job. The outcome is Accepted if the state is
 // known.
-func (i *Intake) State(ctx context.Context, id string) (work.State, Outcome) {
+func (i *Intake) State(ctx context.Context, access Access, id string) (work.State, Outcome) {
 	started := i.config.Clock()
-	source, outcome := "leader", Accepted
-	state, known := i.askState(ctx, id)
-	if !known {
+	source := "leader"
+	answer := i.askState(ctx, id)
+	state, outcome := answer.State, Accepted
+	switch {
+	case !answer.Known:
 		source = "store"
-		state, outcome = i.readState(ctx, id)
+		state, outcome = i.readState(ctx, access, id)
+	case !access.Restricted:
+	case !answer.OwnerKnown: // from a leader of an earlier release
+		outcome = i.checkOwner(ctx, access, id)
+	case !access.permits(answer.Organisation):
+		outcome = i.denied(id, access)
 	}
 	i.config.Counts.Add("state_"+source+"_"+outcome.String(), 1)
 	i.config.RecordDuration("state_"+source, i.config.Clock().Sub(started))
@@ -29,34 +36,36 @@
 
 // askState asks the leader of the shard that the layout names, and then that of
 // the shard that the job has moved to.
-func (i *Intake) askState(ctx context.Context, id string) (work.State, bool) {
+func (i *Intake) askState(ctx context.Context, id string) leader.Answer {
 	usual := i.config.Layout.OfJob(id)
 	answer := i.config.Ask(ctx, leader.Question{
 		Job:   id,
 		Shard: usual,
 	})
 	if answer.Known || i.config.Layout.Shards <= 1 {
-		return answer.State, answer.Known
+		return answer
 	}
 	at, err := i.locate(ctx, id)
 	if err != nil || at.shard == usual {
-		return work.Queued, false
+		return leader.Answer{}
 	}
-	answer = i.config.Ask(ctx, leader.Question{
+	return i.config.Ask(ctx, leader.Question{
 		Job:   id,
 		Shard: at.shard,
 	})
-	return answer.State, answer.Known
 }
 
 // readState derives a job's state from its records in the store.
-func (i *Intake) readState(ctx context.Context, id string) (work.State, Outcome) {
+func (i *Intake) readState(ctx context.Context, access Access, id string) (work.State, Outcome) {
 	at, err := i.locate(ctx, id)
 	for range maxMoves {
 		if err != nil {
 			return work.Queued, Unknown
 		}
-		state, outcome := i.readStateAt(ctx, at, id)
+		state, outcome, readErr := i.readStateAt(ctx, access, at, id)
+		if errors.Is(readErr, errNotPermitted) {
+			return work.Queued, i.denied(id, access)
+		}
 		if outcome != NoSuchJob || i.config.Layout.Shards <= 1 {
 			return state, outcome
 		}
@@ -70,8 +79,29 @@
 }
 
 // readStateAt reads the records of one shard. The job's own record is read last:
-// all of them are deleted together.
-func (i *Intake) readStateAt(ctx context.Context, at home, id string) (work.State, Outcome) {
+// all of them are deleted together. It holds the owner, so it is read in any case
+// if the access is restricted.
+func (i *Intake) readStateAt(ctx context.Context, access Access, at home, id string) (work.State, Outcome, error) {
+	state, outcome := i.readProgressAt(ctx, at, id)
+	if outcome == Unknown || (outcome == Accepted && !access.Restricted) {
+		return state, outcome, nil
+	}
+	item, err := i.config.Store.Get(ctx, at.keys.Job(id))
+	if errors.Is(err, store.ErrAbsent) {
+		return work.Queued, NoSuchJob, nil
+	}
+	if err == nil {
+		err = access.check(item)
+	}
+	if err != nil {
+		return work.Queued, Unknown, err
+	}
+	return state, Accepted, nil
+}
+
+// readProgressAt reads a job's state from its progress record and cancellation.
+// The outcome is NoSuchJob if there is neither.
+func (i *Intake) readProgressAt(ctx context.Context, at home, id string) (work.State, Outcome) {
 	item, err := i.config.Store.Get(ctx, at.keys.State(id))
 	if err == nil {
 		progress, err := work.DecodeProgress(item.Value)
@@ -90,12 +120,5 @@
 	if _, err = i.config.Store.Get(ctx, at.keys.Cancel(id)); err == nil {
 		return work.Cancelled, Accepted
 	}
-	_, err = i.config.Store.Get(ctx, at.keys.Job(id))
-	switch {
-	case err == nil:
-		return work.Queued, Accepted
-	case errors.Is(err, store.ErrAbsent):
-		return work.Queued, NoSuchJob
-	}
-	return work.Queued, Unknown
+	return work.Queued, NoSuchJob
 }
--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -66,13 +66,27 @@
 	Version  int64
 	Queues   map[string]Queue
 	Services map[string]Service
-	// Organisations holds the organisations by name. It is empty in a deployment
-	// without organisations, where calls need no key.
+	// RequiresKeys is set if the configuration lists organisations, also if none
+	// of the entries can be used: calls need a key then, except at public queues.
+	RequiresKeys bool
+	// Organisations holds the organisations by name, Keys their keys.
 	Organisations map[string]Organisation
+	Keys          Keys
 	// MaxBodyBytes limits the size of a caller's request body.
 	MaxBodyBytes int64
 }
 
+// Authenticate returns the organisation that a key belongs to, and whether there
+// is one.
+func (c *Catalog) Authenticate(key string) (Organisation, bool) {
+	name, known := c.Keys.Organisation(key)
+	if !known {
+		return Organisation{}, false
+	}
+	organisation, listed := c.Organisations[name]
+	return organisation, listed
+}
+
 // Route returns the queue for a host and path, the path without the queue's
 // prefix, and whether there is such a queue.
 func (c *Catalog) Route(host, path string) (queue Queue, rest string, found bool) {
