--- a/internal/request/intake/unreachable_test.go
+++ b/internal/request/intake/unreachable_test.go
@@ -35,7 +35,7 @@
 				attempts++
 				return 0, store.ErrUnavailable
 			}
-			assert.Equal(t, NotAccepted, intake.Submit(t.Context(), testJob()))
+			assert.Equal(t, NotAccepted, intake.Submit(t.Context(), Access{}, testJob()))
 			assert.Equal(t, test.attempts, attempts)
 		})
 	}
@@ -53,7 +53,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	assert.Equal(t, Unknown, intake.Submit(ctx, testJob()))
+	assert.Equal(t, Unknown, intake.Submit(ctx, Access{}, testJob()))
 }
 
 // Guards against an answer without a result for a job that is known to be
@@ -70,6 +70,6 @@
 			Known: question.Job == testJob().ID,
 		}
 	}
-	assert.Equal(t, Accepted, intake.Submit(t.Context(), testJob()))
+	assert.Equal(t, Accepted, intake.Submit(t.Context(), Access{}, testJob()))
 	assert.Equal(t, 1, attempts)
 }
