Quotas: exact limits of organisations with one leader, with takeover

Change: internal/process/quota counts per organisation and resource; claims update the counts with what the task requested, fillers included. placeStep and placeGang start only what the limit admits, and neither reserve nor preempt for the rest. A start that was decided but not sent, or not answered, is sent again only if the limit in force still admits it. After a leader change, all tasks of inherited jobs that may run on workers which have not reported count, those of jobs cancelled or failed too; a handover and recorded placements narrow this down. The last known limits are saved with the learned state. An organisation whose limit is not known starts nothing. Members of a gang whose job belongs to an organisation keep their claims until their ends are listed. With several shards, each leader gets an equal part, rounded down. Ruled out: a cap of the unreported use by the capacity of the unreported workers, since fillers claim no cores and capacities may shrink; a stop of an unanswered start under a reduced limit, since it may be running.

--- /dev/null
+++ b/internal/process/quota/account.go
@@ -0,0 +1,85 @@
+package quota
+
+import (
+	"math"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
+)
+
+// Account holds the limit of one organisation and what it uses. The nil account
+// is that of work without an organisation: it has no limit and counts nothing.
+type Account struct {
+	Name string
+	// Limit is the configured limit, in which zero means none, and Weight the
+	// configured weight.
+	Limit  worker.Size
+	Weight float64
+	// Listed is set while the configuration has the organisation.
+	Listed bool
+	// bound is the most that may be in use here, valid if known is set. An
+	// organisation that was in no configuration known so far starts nothing: its
+	// limit may be in a version that arrives later.
+	bound worker.Size
+	known bool
+	// running is what runs, starts or is being stopped. possible is what may be
+	// running on workers that have not reported to this leader.
+	running, possible worker.Size
+}
+
+// Add counts a run, and Remove its certain end.
+func (a *Account) Add(size worker.Size) {
+	if a != nil {
+		a.running = a.running.Add(size)
+	}
+}
+
+// Remove counts the certain end of a run.
+func (a *Account) Remove(size worker.Size) {
+	if a != nil {
+		a.running = a.running.Sub(size)
+	}
+}
+
+// Use returns what the organisation has running, and what it may have running
+// beyond that on workers that have not reported.
+func (a *Account) Use() (running, possible worker.Size) {
+	return a.running, a.possible
+}
+
+// MayStart returns how many tasks of a size may start now.
+func (a *Account) MayStart(size worker.Size) int {
+	switch {
+	case a == nil:
+		return math.MaxInt
+	case !a.known:
+		return 0
+	}
+	used := a.running.Add(a.possible)
+	return int(min(
+		count(size.MilliCores, used.MilliCores, a.bound.MilliCores),
+		count(size.MemoryBytes, used.MemoryBytes, a.bound.MemoryBytes),
+		count(size.Accelerators, used.Accelerators, a.bound.Accelerators),
+	))
+}
+
+// Admits reports whether one more task of a size may start now.
+func (a *Account) Admits(size worker.Size) bool {
+	if a == nil {
+		return true
+	}
+	used := a.running.Add(a.possible)
+	return a.known && !exceeds(size.MilliCores, used.MilliCores, a.bound.MilliCores) &&
+		!exceeds(size.MemoryBytes, used.MemoryBytes, a.bound.MemoryBytes) &&
+		!exceeds(size.Accelerators, used.Accelerators, a.bound.Accelerators)
+}
+
+// StillAdmits reports whether a task of a size that is counted already, but may
+// not have begun, may begin now.
+func (a *Account) StillAdmits(size worker.Size) bool {
+	if a == nil {
+		return true
+	}
+	a.Remove(size)
+	defer a.Add(size)
+	return a.Admits(size)
+}
--- /dev/null
+++ b/internal/process/quota/book.go
@@ -0,0 +1,105 @@
+package quota
+
+import (
+	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/version/catalog"
+)
+
+// Book holds the accounts of all organisations known to one leader.
+type Book struct {
+	accounts map[string]*Account
+	// shards is the number of leaders among whom each limit is divided.
+	shards int
+}
+
+// NewBook returns a book of one of several leaders.
+func NewBook(shards int) *Book {
+	return &Book{
+		accounts: map[string]*Account{},
+		shards:   max(1, shards),
+	}
+}
+
+// Empty reports whether no organisation is known.
+func (b *Book) Empty() bool {
+	return len(b.accounts) == 0
+}
+
+// Account returns the account of an organisation, nil for the empty name.
+func (b *Book) Account(name string) *Account {
+	if name == "" {
+		return nil
+	}
+	account := b.accounts[name]
+	if account == nil {
+		account = &Account{
+			Name:   name,
+			Weight: 1,
+		}
+		b.accounts[name] = account
+	}
+	return account
+}
+
+// SetOrganisations puts the organisations of a configuration version in force.
+// One that is missing from it keeps its last limit for its open jobs.
+func (b *Book) SetOrganisations(organisations map[string]catalog.Organisation) {
+	for name, account := range b.accounts {
+		if _, ok := organisations[name]; !ok {
+			account.Listed = false
+		}
+	}
+	for name, organisation := range organisations {
+		if account := b.Account(name); account != nil {
+			account.Weight, account.Listed = organisation.Weight, true
+			b.setLimit(account, organisation.Limit)
+		}
+	}
+}
+
+func (b *Book) setLimit(account *Account, limit worker.Size) {
+	account.Limit, account.known = limit, true
+	account.bound = Split(Bound(limit), b.shards)
+}
+
+// Limits returns the last known limit of each organisation, for the next leader.
+func (b *Book) Limits() map[string]worker.Size {
+	if b.Empty() {
+		return nil
+	}
+	limits := make(map[string]worker.Size, len(b.accounts))
+	for name, account := range b.accounts {
+		if account.known {
+			limits[name] = account.Limit
+		}
+	}
+	return limits
+}
+
+// RestoreLimits restores the limits of organisations that are in no
+// configuration known so far, as an earlier leader knew them.
+func (b *Book) RestoreLimits(limits map[string]worker.Size) {
+	for name, limit := range limits {
+		if account := b.Account(name); account != nil && !account.known {
+			b.setLimit(account, limit)
+		}
+	}
+}
+
+// ClearPossible drops the counts of what may be running on workers that have not
+// reported, and AddPossible adds to them.
+func (b *Book) ClearPossible() {
+	for _, account := range b.accounts {
+		account.possible = worker.Size{}
+	}
+}
+
+// AddPossible counts tasks of a size that may be running on workers that have
+// not reported.
+func (a *Account) AddPossible(size worker.Size, tasks int) {
+	a.possible = a.possible.Add(worker.Size{
+		MilliCores:   size.MilliCores * int64(tasks),
+		MemoryBytes:  size.MemoryBytes * int64(tasks),
+		Accelerators: size.Accelerators * int64(tasks),
+	})
+}
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -14,6 +14,7 @@
 	"math"
 	"time"
 
+	"mustardreach.example/mustardreach/internal/process/quota"
 	"mustardreach.example/mustardreach/internal/request/work"
 	"mustardreach.example/mustardreach/internal/version/catalog"
 )
@@ -37,6 +38,9 @@
 	// HoldsLongRunning delays the start of a long-running job until a round of
 	// moves has left it in this shard.
 	HoldsLongRunning bool
+	// Shards is the number of leaders among whom the limits of organisations are
+	// divided; zero means one.
+	Shards int
 }
 
 // Board is the whole state of the scheduler. It is owned by one goroutine.
@@ -86,6 +90,11 @@
 	unsaved map[string]*job
 	// lost holds the workers that may have crashed under one of their tasks.
 	lost map[string]*lostWorker
+	// quotas holds the accounts of the organisations. possiblyRunning are the
+	// inherited jobs of organisations whose tasks may be running unknown to this
+	// leader.
+	quotas          *quota.Book
+	possiblyRunning []*job
 }
 
 // NewBoard returns an empty board.
@@ -103,6 +112,7 @@
 		interference: newInterference(),
 		unsaved:      map[string]*job{},
 		lost:         map[string]*lostWorker{},
+		quotas:       quota.NewBook(config.Shards),
 		startsLeft:   math.MaxInt,
 	}
 }
@@ -132,6 +142,7 @@
 // SetCatalog puts a version of the configuration into force.
 func (b *Board) SetCatalog(newest *catalog.Catalog) {
 	b.catalog = newest
+	b.quotas.SetOrganisations(newest.Organisations)
 }
 
 // Evacuate sets the withdrawn zones, which get no new tasks.
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -146,7 +146,7 @@
 		b.breakGang(step)
 		return
 	}
-	if now.Before(step.tasks[0].notBefore) {
+	if now.Before(step.tasks[0].notBefore) || j.account.MayStart(step.spec.Size) < len(step.tasks) {
 		return
 	}
 	run, everClaimed := b.nextRun(), j.everClaimed
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/process/quota"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -16,6 +17,8 @@
 type claim struct {
 	run  int64
 	size worker.Size
+	// account is that of the job's organisation, nil without one.
+	account *quota.Account
 	// confirmed is set once the worker has reported the run.
 	confirmed bool
 	started   time.Time
@@ -78,7 +81,7 @@
 
 // claim assigns a run of the task to a worker and takes its capacity.
 func (b *Board) claim(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) *claim {
-	held := newClaim(step.spec, run, now)
+	held := newClaim(j, step.spec, run, now)
 	if len(t.crashes) > 0 {
 		held.suspicion = len(t.crashes)
 		b.markChanged(j) // the record charges the run in advance
@@ -96,10 +99,11 @@
 
 // newClaim returns the claim of a run of the step. A filler claims memory but
 // no cores.
-func newClaim(spec *work.Step, run int64, now time.Time) *claim {
+func newClaim(j *job, spec *work.Step, run int64, now time.Time) *claim {
 	held := &claim{
 		run:          run,
 		size:         spec.Size,
+		account:      j.account,
 		started:      now,
 		filler:       spec.Filler,
 		serving:      spec.TailTarget > 0,
@@ -116,11 +120,13 @@
 	return held
 }
 
-// addClaim and removeClaim keep the totals over a worker's claims.
+// addClaim and removeClaim keep the totals over a worker's claims and the use of
+// their organisations.
 func (w *workerState) addClaim(key work.TaskKey, held *claim) {
 	w.headrooms = nil
 	w.claims[key] = held
 	w.used = w.used.Add(held.size)
+	held.account.Add(held.requestedSize())
 	w.idle -= held.estimatedUse()
 	w.steps[stepOf(key)]++
 	w.suspicion += held.suspicion
@@ -136,6 +142,7 @@
 	w.headrooms = nil
 	delete(w.claims, key)
 	w.used = w.used.Sub(held.size)
+	held.account.Remove(held.requestedSize())
 	w.idle += held.estimatedUse()
 	if w.steps[stepOf(key)]--; w.steps[stepOf(key)] == 0 {
 		delete(w.steps, stepOf(key))
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -26,6 +26,7 @@
 	}
 	b.dropReservations(now)
 	b.settleInherited(now)
+	b.countPossible(now)
 	if allowed && !b.fenced {
 		b.place(now)
 	}
@@ -80,8 +81,10 @@
 			b.stop(w.ID, start.Key, start.Run, "no_answer")
 			continue
 		}
-		if !w.reachable {
-			// Sending it would extend the leases of the worker's runs.
+		if !w.reachable || !held.stillAdmits() {
+			// Sending it would extend the leases of an unreachable worker's runs. A
+			// run that its organisation's limit no longer admits may have begun: it
+			// keeps its claim and is not stopped.
 			later = append(later, start)
 			continue
 		}
--- a/internal/process/schedule/ends.go
+++ b/internal/process/schedule/ends.go
@@ -86,8 +86,10 @@
 		}
 		if t.phase == claimed {
 			if w := b.workers[t.worker]; w != nil {
-				if held := w.claims[t.key]; held != nil {
+				if held := w.claims[t.key]; held != nil && held.account == nil {
 					w.removeClaim(t.key, held)
+				} else if held != nil {
+					held.orphaned = true // counts until its end is listed
 				}
 			}
 			j.claims--
--- a/internal/process/schedule/handover.go
+++ b/internal/process/schedule/handover.go
@@ -43,13 +43,10 @@
 			out.Claims[id] = keys
 		}
 	}
-	for id, j := range b.open {
-		if j.inherited == 0 {
-			continue
-		}
+	for _, j := range b.inheritedJobs() {
 		for _, t := range j.openTasks() {
 			if !t.located {
-				out.Uncertain = append(out.Uncertain, id)
+				out.Uncertain = append(out.Uncertain, j.work.ID)
 				break
 			}
 			for _, worker := range b.unsettledWorkers(t, now) {
@@ -88,8 +85,8 @@
 			w.leaseEnd = earlier(w.leaseEnd, b.termStart.Add(wait))
 		}
 	}
-	for _, j := range b.open {
-		if _, uncertain := slices.BinarySearch(handover.Uncertain, j.work.ID); j.inherited == 0 || uncertain {
+	for _, j := range b.inheritedJobs() {
+		if _, uncertain := slices.BinarySearch(handover.Uncertain, j.work.ID); uncertain {
 			continue
 		}
 		j.hasLocated = true
@@ -103,7 +100,7 @@
 	}
 	for id, keys := range handover.Claims {
 		for _, key := range keys {
-			if j := b.open[key.Job]; j != nil {
+			if j := b.jobs[key.Job]; j != nil {
 				if _, _, t := j.find(key); t != nil {
 					t.lastWorkers = append(t.lastWorkers, id)
 				}
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -128,7 +128,7 @@
 	}
 	if b.open[row.Key.Job] == nil || t.phase != waiting {
 		// No task needs the run, but it holds its capacity until it has ended.
-		held := newClaim(step.spec, row.Run, now)
+		held := newClaim(j, step.spec, row.Run, now)
 		held.confirmed, held.orphaned = true, true
 		w.addClaim(row.Key, held)
 		b.stop(w.ID, row.Key, row.Run, "not_wanted")
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"mustardreach.example/mustardreach/internal/process/quota"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -72,6 +73,8 @@
 type job struct {
 	work     *work.Job
 	progress work.Progress
+	// account is that of its organisation, nil without one.
+	account *quota.Account
 	// arrived is when the job was accepted, on this host's steady clock.
 	arrived time.Time
 	// objective is when the job should be done to keep its full value.
@@ -141,6 +144,7 @@
 	if progress != nil {
 		j.restore(progress)
 	}
+	b.joinOrganisation(j)
 	j.objective = b.objective(j)
 	b.estimates.recordWork(spec.Queue, b.totalWork(j))
 	b.jobs[spec.ID] = j
--- a/internal/process/schedule/learned.go
+++ b/internal/process/schedule/learned.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
 )
 
 // Learned is what a leader has learned and passes on to its successor. Load
@@ -18,6 +20,9 @@
 	// in millicore-seconds, both by queue.
 	Factors map[string]float64 `cbor:"3,keyasint"`
 	Work    map[string]float64 `cbor:"4,keyasint"`
+	// Limits holds the last known limit of each organisation, which applies to
+	// its open jobs after it has left the configuration.
+	Limits map[string]worker.Size `cbor:"5,keyasint,omitempty"`
 }
 
 // LearnedCoefficient is the interference coefficient of one pair of images.
@@ -35,6 +40,7 @@
 		MeanBaseline: b.interference.meanBaseline,
 		Factors:      b.estimates.factors,
 		Work:         b.estimates.work,
+		Limits:       b.quotas.Limits(),
 	}
 	for key, known := range b.interference.coefficients {
 		out.Coefficients = append(out.Coefficients, LearnedCoefficient{
@@ -71,4 +77,5 @@
 	for queue, mean := range learned.Work {
 		b.estimates.work[queue] = mean
 	}
+	b.quotas.RestoreLimits(learned.Limits)
 }
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -95,12 +95,15 @@
 }
 
 func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, shortages *shortage, now time.Time) {
+	if !j.account.Admits(step.spec.Size) {
+		return
+	}
 	urgent := b.urgent(j) && !step.spec.Filler
 	if !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID) {
 		return
 	}
 	for _, t := range step.tasks {
-		if b.startsLeft <= 0 {
+		if b.startsLeft <= 0 || !j.account.Admits(step.spec.Size) {
 			return
 		}
 		if t.phase != waiting || now.Before(t.notBefore) || !b.mayStartTask(j, t, now) {
--- a/internal/process/schedule/placements.go
+++ b/internal/process/schedule/placements.go
@@ -41,7 +41,7 @@
 		held := w.claims[next.start.Key]
 		switch {
 		case held == nil || held.run != next.start.Run || !held.stopping.IsZero() || !held.barred.IsZero():
-		case !b.usable(w, now) || b.overcommitted(w):
+		case !b.usable(w, now) || b.overcommitted(w) || !held.stillAdmits():
 			b.release(w, next.start.Key, now)
 		case j.durable < next.version || b.startsLeft <= 0:
 			later = append(later, next)
@@ -57,10 +57,7 @@
 // TrustPlacements says that every earlier leader recorded the placements of the
 // long-running tasks of the inherited jobs known so far.
 func (b *Board) TrustPlacements() {
-	for _, j := range b.open {
-		if j.inherited == 0 {
-			continue
-		}
+	for _, j := range b.inheritedJobs() {
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
 				if !step.spec.LongRunning {
--- /dev/null
+++ b/internal/process/schedule/quotas.go
@@ -0,0 +1,92 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// requestedSize is what the task of a claim asked for. It counts against the
+// limit of its organisation, also for a filler, which claims no cores.
+func (c *claim) requestedSize() worker.Size {
+	return worker.Size{
+		MilliCores:   c.requested,
+		MemoryBytes:  c.size.MemoryBytes,
+		Accelerators: c.size.Accelerators,
+	}
+}
+
+// joinOrganisation assigns a new job to the account of its organisation. What
+// an inherited job may have running is counted until all workers are accounted
+// for, also if it has ended: its runs may still be stopping. All tasks of a
+// completed job have ended.
+func (b *Board) joinOrganisation(j *job) {
+	j.account = b.quotas.Account(j.work.Organisation)
+	if j.account == nil || j.inherited == 0 || j.progress.State == work.Completed {
+		return
+	}
+	b.possiblyRunning = append(b.possiblyRunning, j)
+}
+
+// countPossible counts, for each organisation, the tasks that may be running on
+// workers that have not reported to this leader.
+func (b *Board) countPossible(now time.Time) {
+	if b.possiblyRunning == nil {
+		return
+	}
+	b.quotas.ClearPossible()
+	unsettled := b.unsettledServices(now)
+	b.possiblyRunning = slices.DeleteFunc(b.possiblyRunning, func(j *job) bool {
+		return b.settled(j, unsettled)
+	})
+	for _, j := range b.possiblyRunning {
+		for _, occ := range j.occurrences {
+			for _, step := range occ.steps {
+				if tasks := b.possibleRuns(step, now); tasks > 0 {
+					j.account.AddPossible(step.spec.Size, tasks)
+				}
+			}
+		}
+	}
+	if len(b.possiblyRunning) == 0 {
+		b.possiblyRunning = nil
+	}
+}
+
+// possibleRuns counts the tasks of an inherited step without a claim that may be
+// running on a worker that is not accounted for. A task that is done may have a
+// run that is being stopped; only a handover names it.
+func (b *Board) possibleRuns(step *stepState, now time.Time) int {
+	count := 0
+	for _, t := range step.tasks {
+		if t.phase == waiting && !t.located || t.phase != claimed && len(b.unsettledWorkers(t, now)) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// inheritedJobs returns the inherited jobs whose tasks may be running unknown to
+// this leader, among them jobs of organisations that have ended.
+func (b *Board) inheritedJobs() []*job {
+	var out []*job
+	for _, j := range b.open {
+		if j.inherited != 0 {
+			out = append(out, j)
+		}
+	}
+	for _, j := range b.possiblyRunning {
+		if b.open[j.work.ID] == nil {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// stillAdmits reports whether a claimed run that may not have begun may begin
+// under the limit that is now in force.
+func (c *claim) stillAdmits() bool {
+	return c.account == nil || c.account.StillAdmits(c.requestedSize())
+}
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -87,6 +87,8 @@
 	until  time.Time
 	start  Start
 	at     time.Time
+	// ordered is when the leader gave the order.
+	ordered time.Time
 }
 
 // simulation models workers, store and network around one or two boards. Orders
@@ -118,6 +120,8 @@
 	longRunning bool
 	// resigns is set if some leaders resign before the next one begins.
 	resigns bool
+	// quotas is set if the jobs belong to organisations with limits.
+	quotas *quotaSimulation
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -168,8 +172,11 @@
 	}
 	sim.token += 10
 	sim.board = NewBoard(testConfig())
-	sim.board.SetCatalog(testCatalog())
+	sim.board.SetCatalog(sim.catalog())
 	sim.board.Begin(sim.token, sim.now)
+	if sim.quotas != nil {
+		sim.board.RestoreLearned(sim.quotas.learned, sim.now)
+	}
 	sim.board.AddRoster(sim.roster, sim.now)
 	for id, spec := range sim.specs {
 		var progress *work.Progress
@@ -228,14 +235,18 @@
 		spec.Steps = spec.Steps[:1]
 		spec.Steps[0].LongRunning = true
 	}
+	if sim.quotas != nil {
+		sim.quotas.assign(sim.t, spec)
+	}
 	sim.specs[id] = spec
 	sim.created[id] = sim.token + 1
 	sim.board.AddJob(spec, nil, false, sim.now, sim.now)
 }
 
 // deliverStart handles a start at a worker.
-func (sim *simulation) deliverStart(id string, token int64, until time.Time, start Start) Verdict {
-	simWorker := sim.workers[id]
+func (sim *simulation) deliverStart(order delayedStart) Verdict {
+	token, until, start := order.token, order.until, order.start
+	simWorker := sim.workers[order.worker]
 	switch {
 	case token < simWorker.token:
 		return Fenced
@@ -249,7 +260,11 @@
 		return NoRoom
 	}
 	simWorker.token = token
-	sim.checkStart(start)
+	if sim.quotas != nil {
+		sim.checkQuota(order)
+	} else {
+		sim.checkStart(start)
+	}
 	simWorker.running[start.Key] = &simulatedRun{
 		run:  start.Run,
 		work: rapid.SampledFrom([]time.Duration{simulationStep, time.Second}).Draw(sim.t, "work"),
@@ -314,20 +329,22 @@
 	if simWorker == nil || simWorker.partitioned {
 		fate = "lost"
 	}
+	order := delayedStart{
+		worker:  start.Worker,
+		token:   board.token,
+		until:   until,
+		start:   start,
+		ordered: sim.now,
+	}
 	verdict := Unknown
 	switch fate {
 	case "ok":
-		verdict = sim.deliverStart(start.Worker, board.token, until, start)
+		verdict = sim.deliverStart(order)
 	case "unanswered":
-		_ = sim.deliverStart(start.Worker, board.token, until, start)
+		_ = sim.deliverStart(order)
 	case "late":
-		sim.delayed = append(sim.delayed, delayedStart{
-			worker: start.Worker,
-			token:  board.token,
-			until:  until,
-			start:  start,
-			at:     sim.now.Add(time.Duration(rapid.IntRange(1, 12).Draw(sim.t, "delay")) * time.Second),
-		})
+		order.at = sim.now.Add(time.Duration(rapid.IntRange(1, 12).Draw(sim.t, "delay")) * time.Second)
+		sim.delayed = append(sim.delayed, order)
 	}
 	board.StartReplied(start, verdict, sim.now)
 }
@@ -440,7 +457,7 @@
 			continue
 		}
 		if !sim.workers[order.worker].partitioned {
-			_ = sim.deliverStart(order.worker, order.token, order.until, order.start)
+			_ = sim.deliverStart(order)
 		}
 	}
 	sim.delayed = kept
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -39,9 +39,7 @@
 func (b *Board) settleInherited(now time.Time) {
 	unsettled := b.unsettledServices(now)
 	for _, j := range b.open {
-		service := b.serviceOf(j)
-		if j.inherited == 0 || unsettled[service] ||
-			service != j.work.Service && len(unsettled) > 0 { // the queue may have moved more than once
+		if j.inherited == 0 || !b.settled(j, unsettled) {
 			continue
 		}
 		j.inherited = 0
@@ -49,6 +47,14 @@
 	}
 }
 
+// settled reports whether no task of a job can be running unknown to this
+// leader, given the services with a worker that is not accounted for.
+func (b *Board) settled(j *job, unsettled map[string]bool) bool {
+	service := b.serviceOf(j)
+	return j.inherited == 0 || !unsettled[service] &&
+		(service == j.work.Service || len(unsettled) == 0) // the queue may have moved more than once
+}
+
 // addLastWorker records that a task has a run on a worker. Workers that are
 // accounted for are dropped.
 func (b *Board) addLastWorker(t *task, w *workerState, now time.Time) {
