Quotas: weighted shares in the rank of waiting jobs

Cause: an organisation that sends many times its usual load takes the capacity of all others, since jobs are ordered by their value alone. Change: within a priority and kind, the organisation furthest below its weighted fair share of its dominant resource goes first, in steps of an eighth of a fair share, within which the value of the jobs decides. Each second without a start makes up for one fair share of use. Only organisations that use or await capacity count in the fair shares, so that an idle share is lent. What runs and what may run count, long-running tasks too. The rank gets one field; the capacity is summed ten times a second. Ruled out: the exact share, since one task more or less would outweigh a job that is about to miss its objective.

--- a/internal/process/quota/account.go
+++ b/internal/process/quota/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
 )
@@ -24,6 +25,11 @@
 	// running is what runs, starts or is being stopped. possible is what may be
 	// running on workers that have not reported to this leader.
 	running, possible worker.Size
+	// waitingSince is when a task was last started, or when work began to wait,
+	// and lastWaiting when work was last seen waiting.
+	waitingSince, lastWaiting time.Time
+	// active is set if the weight counts in the fair shares.
+	active bool
 }
 
 // Add counts a run, and Remove its certain end.
--- a/internal/process/quota/book.go
+++ b/internal/process/quota/book.go
@@ -10,6 +10,10 @@
 	accounts map[string]*Account
 	// shards is the number of leaders among whom each limit is divided.
 	shards int
+	// total is the capacity that the organisations share, and activeWeight the sum
+	// of the weights of those that use it or wait for it.
+	total        worker.Size
+	activeWeight float64
 }
 
 // NewBook returns a book of one of several leaders.
--- a/internal/process/schedule/bench_test.go
+++ b/internal/process/schedule/bench_test.go
@@ -7,21 +7,25 @@
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
 	"mustardreach.example/mustardreach/internal/request/work"
+	"mustardreach.example/mustardreach/internal/version/catalog"
 )
 
 // crowdedBoard returns an overloaded board of 48 workers.
 func crowdedBoard() *Board {
-	return overloadedBoard(48, 250)
+	return overloadedBoard(48, 250, 0)
 }
 
 // overloadedBoard returns a board with jobs of 12 tasks, fillers and others, that
 // ask for far more than the capacity.
-func overloadedBoard(workers, jobs int) *Board {
+// The jobs belong to organisations in turn, of which one in ten has a limit that
+// it reaches.
+func overloadedBoard(workers, jobs, organisations int) *Board {
 	ids := make([]string, workers)
 	for i := range ids {
 		ids[i] = fmt.Sprintf("w%02d", i)
 	}
 	board := testBoard(ids...)
+	board.SetCatalog(manyOrganisations(organisations))
 	for i := range jobs {
 		step := work.Step{
 			Count: 12,
@@ -41,12 +45,32 @@
 		case 3:
 			queue, step.LongRunning, step.TailTarget = "quotes", true, time.Second
 		}
-		board.AddJob(testJob(fmt.Sprintf("%016d", i), queue, step), nil, false, testStart, testStart)
+		job := testJob(fmt.Sprintf("%016d", i), queue, step)
+		if organisations > 0 {
+			job.Organisation = fmt.Sprintf("o%03d", i%organisations)
+		}
+		board.AddJob(job, nil, false, testStart, testStart)
 	}
 	accept(board, board.Decide(testStart, true), testStart)
 	return board
 }
 
+func manyOrganisations(count int) *catalog.Catalog {
+	out := testCatalog()
+	out.Organisations = map[string]catalog.Organisation{}
+	for i := range count {
+		organisation := catalog.Organisation{
+			Name:   fmt.Sprintf("o%03d", i),
+			Weight: float64(1 + i%4),
+		}
+		if i%10 == 0 {
+			organisation.Limit.MilliCores = 5000
+		}
+		out.Organisations[organisation.Name] = organisation
+	}
+	return out
+}
+
 func BenchmarkDecideCrowded(b *testing.B) {
 	board := crowdedBoard()
 	now := testStart
@@ -61,8 +85,17 @@
 // which some 16,000 tasks wait, with that of one of its seven shards.
 func BenchmarkDecideFleet(b *testing.B) {
 	for name, size := range map[string]struct {
-		workers, jobs int
+		workers, jobs, organisations int
 	}{
+		"350 workers": {
+			workers: 350,
+			jobs:    1450,
+		},
+		"350 workers, 380 organisations": {
+			workers:       350,
+			jobs:          1450,
+			organisations: 380,
+		},
 		"whole, 1100 workers": {
 			workers: 1100,
 			jobs:    1600,
@@ -73,7 +106,7 @@
 		},
 	} {
 		b.Run(name, func(b *testing.B) {
-			board := overloadedBoard(size.workers, size.jobs)
+			board := overloadedBoard(size.workers, size.jobs, size.organisations)
 			now := testStart
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -167,6 +167,7 @@
 		return
 	}
 	b.startsLeft -= len(step.tasks)
+	j.account.Started(now)
 	checkpoint := gangCheckpoint(step)
 	for i, t := range step.tasks {
 		b.sendStart(j, step, Start{
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -23,6 +23,7 @@
 		b.lastScan = now
 		b.retryStops()
 		b.stopStalled(now)
+		b.measureCapacity(now)
 	}
 	b.dropReservations(now)
 	b.settleInherited(now)
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -141,6 +141,7 @@
 func (b *Board) start(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) {
 	b.startsLeft--
 	b.claim(w, j, step, t, run, now)
+	j.account.Started(now)
 	b.sendStart(j, step, Start{
 		Worker:     w.ID,
 		Key:        t.key,
--- a/internal/process/schedule/quotas.go
+++ b/internal/process/schedule/quotas.go
@@ -90,3 +90,18 @@
 func (c *claim) stillAdmits() bool {
 	return c.account == nil || c.account.StillAdmits(c.requestedSize())
 }
+
+// measureCapacity sets the capacity that organisations share: that of all
+// workers which take tasks.
+func (b *Board) measureCapacity(now time.Time) {
+	if b.quotas.Empty() {
+		return
+	}
+	total := worker.Size{}
+	for _, w := range b.workers {
+		if w.reachable && w.listed && !w.Draining {
+			total = total.Add(w.Capacity)
+		}
+	}
+	b.quotas.SetCapacity(total, now)
+}
--- a/internal/process/schedule/rank.go
+++ b/internal/process/schedule/rank.go
@@ -22,6 +22,9 @@
 	// longRunning jobs hold their capacity for long and gain little value by
 	// it: quick jobs of the same priority go first.
 	longRunning bool
+	// organisationShare is how much of its fair share the job's organisation
+	// uses, zero without organisations.
+	organisationShare float64
 	// late jobs have missed their objective and have little value left.
 	late bool
 	// density is the job's value per unit of remaining work: under overload,
@@ -43,6 +46,8 @@
 			return 1
 		}
 		return -1
+	case a.rank.organisationShare != c.rank.organisationShare:
+		return cmp.Compare(a.rank.organisationShare, c.rank.organisationShare)
 	case a.rank.late != c.rank.late:
 		if a.rank.late {
 			return 1
@@ -61,11 +66,12 @@
 	slack := j.objective.Sub(now) - j.remaining
 	longRunning := j.work.LongRunning()
 	return rank{
-		overdue:     longRunning && j.overdue(now),
-		priority:    j.priority,
-		longRunning: longRunning,
-		late:        slack < 0 && !longRunning,
-		density:     j.density,
+		overdue:           longRunning && j.overdue(now),
+		priority:          j.priority,
+		longRunning:       longRunning,
+		organisationShare: b.quotas.Order(j.account, now),
+		late:              slack < 0 && !longRunning,
+		density:           j.density,
 	}
 }
 
