--- a/internal/process/quota/account.go
+++ b/internal/process/quota/account.go
@@ -52,6 +52,11 @@
 	return a.running, a.possible
 }
 
+// Known reports whether the limit is known.
+func (a *Account) Known() bool {
+	return a.known
+}
+
 // MayStart returns how many tasks of a size may start now.
 func (a *Account) MayStart(size worker.Size) int {
 	switch {
--- a/internal/process/quota/book.go
+++ b/internal/process/quota/book.go
@@ -1,6 +1,9 @@
 package quota
 
 import (
+	"maps"
+	"slices"
+
 	"mustardreach.example/mustardreach/internal/connection/worker"
 	"mustardreach.example/mustardreach/internal/version/catalog"
 )
@@ -45,6 +48,11 @@
 	return account
 }
 
+// Accounts returns all accounts in no particular order.
+func (b *Book) Accounts() []*Account {
+	return slices.Collect(maps.Values(b.accounts))
+}
+
 // SetOrganisations puts the organisations of a configuration version in force.
 // One that is missing from it keeps its last limit for its open jobs.
 func (b *Book) SetOrganisations(organisations map[string]catalog.Organisation) {
