A leader that lags resigns while a better host is known

Cause: on K, a leader whose host ran at a seventh of its normal speed kept the leadership: 2,184 tasks waited beside unused cores, while seven hosts of its size were available. Change: lag.go decides from the lateness of decisions, the age of events and orders and the lateness of renewals, without I/O; hosts report their processor time and the lateness of their timers with their questions, and once a second without questions. The leader resigns through the existing handover, whose record now has the last resignations by cause, and leaves the leadership to others for 2 s. Orders that have not left the host are taken back before the handover, so that a successor waits for no worker because of them.

--- a/internal/connection/inquiry/inquiry.go
+++ b/internal/connection/inquiry/inquiry.go
@@ -1,6 +1,8 @@
 // Package inquiry sends questions about jobs from each host to the leader of a
 // shard, and the answers back, over the links between hosts. Only a leader and a
-// host that asks it are linked, with one link in each direction.
+// host that asks it are linked, with one link in each direction. Each question
+// carries a report of the host that asks; without questions, one report a second
+// is sent.
 package inquiry
 
 import (
@@ -23,6 +25,10 @@
 // part of a caller's timeout.
 const answerTimeout = 300 * time.Millisecond
 
+// reportInterval is how often a host reports to each leader. With four leaders
+// this is about 400 bytes a second for a host.
+const reportInterval = time.Second
+
 // Config sets up a Client.
 type Config struct {
 	Host string
@@ -34,6 +40,9 @@
 	// Answer answers a question, with the zero Answer if this host is not the
 	// leader. It calls reply once.
 	Answer func(question leader.Question, reply func(answer leader.Answer))
+	// Report returns this host's report; Reported is called with those of others.
+	Report   func() leader.HostReport
+	Reported func(host string, report leader.HostReport)
 }
 
 // Client asks the leader questions, and answers those of other hosts while this
@@ -48,6 +57,9 @@
 	number uint64
 	// pending are the questions that wait for an answer, by number.
 	pending map[uint64]chan leader.Answer
+	// asked holds the hosts that were sent a question since the last round of
+	// reports.
+	asked map[string]bool
 }
 
 // New returns a Client; Run must be called for it to exchange messages with
@@ -57,6 +69,7 @@
 		config:  config,
 		leaders: make([]leader.Member, config.Shards),
 		pending: map[uint64]chan leader.Answer{},
+		asked:   map[string]bool{},
 	}
 }
 
@@ -83,6 +96,7 @@
 	number := c.number
 	result := make(chan leader.Answer, 1)
 	c.pending[number] = result
+	c.asked[target.Host] = true
 	c.mu.Unlock()
 	defer c.removePending(number)
 	switch target.Host {
@@ -96,6 +110,7 @@
 			Job:    question.Job,
 			Queue:  question.Queue,
 			Shard:  question.Shard,
+			Report: c.report(),
 		})
 		if err != nil {
 			return leader.Answer{}
@@ -119,18 +134,61 @@
 	delete(c.pending, number)
 }
 
-// Run handles messages from other hosts until the context ends.
+// Run handles messages from other hosts and reports to the leaders until the
+// context ends.
 func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-c.config.Inbox:
 			c.handle(event)
+		case <-ticker.C:
+			c.reportToLeaders()
+		}
+	}
+}
+
+// report returns this host's report as it is sent.
+func (c *Client) report() *message.HostReport {
+	report := c.config.Report()
+	return &message.HostReport{
+		MilliCores: report.MilliCores,
+		Lag:        report.Lag,
+	}
+}
+
+// reportToLeaders sends a report to each leader that was sent no question since
+// the last round.
+func (c *Client) reportToLeaders() {
+	for _, host := range c.unasked() {
+		err := c.config.Hub.Send(host, message.KindQuestion, message.Question{
+			Report: c.report(),
+		})
+		if err != nil {
+			klog.V(1).InfoS("report not sent", "host", host, "err", err)
 		}
 	}
 }
 
+// unasked returns the other hosts that lead and were sent no question since the
+// last call.
+func (c *Client) unasked() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var hosts []string
+	for _, member := range c.leaders {
+		if member.Host == "" || member.Host == c.config.Host || c.asked[member.Host] || slices.Contains(hosts, member.Host) {
+			continue
+		}
+		hosts = append(hosts, member.Host)
+	}
+	clear(c.asked)
+	return hosts
+}
+
 func (c *Client) handle(event peer.Event) {
 	if event.Up {
 		c.greet(event.From.Host)
@@ -157,14 +215,23 @@
 // greet sends a question that asks nothing over a new link, so that the leader
 // links back before the first question, whose answer would otherwise be lost.
 func (c *Client) greet(host string) {
-	if err := c.config.Hub.Send(host, message.KindQuestion, message.Question{}); err != nil {
+	if err := c.config.Hub.Send(host, message.KindQuestion, message.Question{
+		Report: c.report(),
+	}); err != nil {
 		klog.InfoS("leader not greeted", "host", host, "err", err)
 	}
 }
 
-// answer links back to the host that asks, and sends it the answer.
+// answer links back to the host that asks, notes its report and sends it the
+// answer.
 func (c *Client) answer(host string, address netip.AddrPort, question message.Question) {
 	c.config.Hub.Ensure(address)
+	if report := question.Report; report != nil {
+		c.config.Reported(host, leader.HostReport{
+			MilliCores: report.MilliCores,
+			Lag:        report.Lag,
+		})
+	}
 	if question.Job == "" && question.Queue == "" {
 		return
 	}
--- a/internal/connection/message/message.go
+++ b/internal/connection/message/message.go
@@ -190,7 +190,8 @@
 	Jobs []string `cbor:"1,keyasint"`
 }
 
-// Question asks the leader about a job or a queue.
+// Question asks the leader about a job or a queue, or only reports if it names
+// neither.
 type Question struct {
 	// Number is repeated in the Answer.
 	Number uint64 `cbor:"1,keyasint"`
@@ -198,6 +199,17 @@
 	Queue  string `cbor:"3,keyasint,omitempty"`
 	// Shard is the shard that is asked.
 	Shard int `cbor:"4,keyasint,omitempty"`
+	// Report is the sender's newest; nil if it is of an earlier release.
+	Report *HostReport `cbor:"5,keyasint,omitempty"`
+}
+
+// HostReport tells a leader how well the sender keeps up.
+type HostReport struct {
+	// MilliCores is the processor time that the sender may use, in thousandths of
+	// a core.
+	MilliCores int64 `cbor:"1,keyasint,omitempty"`
+	// Lag is how late the sender's timers were lately.
+	Lag time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Answer is the leader's answer to a Question.
--- a/internal/connection/message/message_test.go
+++ b/internal/connection/message/message_test.go
@@ -103,3 +103,38 @@
 		_, _ = Open[Handover](envelope)
 	})
 }
+
+// TestReportIsOptional guards against a rolling upgrade in which hosts of the
+// earlier release cannot read questions with a report, or in which a question
+// without one is read as a report of no lag.
+func TestReportIsOptional(t *testing.T) {
+	type earlierQuestion struct {
+		Number uint64 `cbor:"1,keyasint"`
+		Job    string `cbor:"2,keyasint,omitempty"`
+		Queue  string `cbor:"3,keyasint,omitempty"`
+		Shard  int    `cbor:"4,keyasint,omitempty"`
+	}
+	earlier := earlierQuestion{
+		Number: 7,
+		Job:    "a",
+		Shard:  3,
+	}
+	frame, err := Encode(KindQuestion, earlier)
+	require.NoError(t, err)
+	envelope, err := Decode(frame)
+	require.NoError(t, err)
+	question, err := Open[Question](envelope)
+	require.NoError(t, err)
+	assert.Nil(t, question.Report)
+	question.Report = &HostReport{
+		MilliCores: 800,
+		Lag:        time.Second,
+	}
+	frame, err = Encode(KindQuestion, question)
+	require.NoError(t, err)
+	envelope, err = Decode(frame)
+	require.NoError(t, err)
+	read, err := Open[earlierQuestion](envelope)
+	require.NoError(t, err)
+	assert.Equal(t, earlier, read)
+}
--- a/internal/process/leader/acquisition.go
+++ b/internal/process/leader/acquisition.go
@@ -42,7 +42,10 @@
 	earlierToken int64
 	// handover is what that leader wrote when it resigned, nil if it did not.
 	handover *schedule.Handover
-	jobs     []*work.Job
+	// resignations are the last ones in favour of a better host, by cause, as far
+	// as an earlier leader has recorded them.
+	resignations map[resignCause]pastResignation
+	jobs         []*work.Job
 	// createRevisions holds the create revision of each job's record, which is
 	// never written again.
 	createRevisions map[string]int64
--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -21,6 +21,8 @@
 	start      *schedule.Start
 	stop       *schedule.Stop
 	throttle   *schedule.Throttle
+	// queuedAt is when the order was decided on.
+	queuedAt time.Time
 }
 
 // execute sends the orders and ticket requests that the board decided on.
@@ -49,7 +51,7 @@
 	if workerLink == nil {
 		return
 	}
-	c.term, c.target, c.validUntil = t, workerLink.target, t.actUntil
+	c.term, c.target, c.validUntil, c.queuedAt = t, workerLink.target, t.actUntil, now
 	c.lease = Lease{
 		Token: t.token,
 	}
@@ -57,16 +59,17 @@
 		c.lease = t.leaseFor(workerLink, now) // no other order requests a lease
 	}
 	t.waiting = append(t.waiting, c)
-	t.dispatch()
+	t.dispatch(now)
 }
 
 // dispatch starts waiting calls while there are free call slots.
-func (t *term) dispatch() {
+func (t *term) dispatch(now time.Time) {
 	for len(t.waiting) > 0 {
 		select {
 		case t.leader.callSlots <- struct{}{}:
 			next := t.waiting[0]
 			t.waiting = t.waiting[1:]
+			t.leader.lag.orderWaited(now.Sub(next.queuedAt), now)
 			go next.run(t.ctx)
 		default:
 			return
@@ -109,7 +112,10 @@
 }
 
 func (t *term) handleReply(c *call, verdict schedule.Verdict, _ time.Duration, now time.Time) {
-	t.dispatch()
+	if verdict == schedule.Unknown {
+		t.leader.lag.unansweredAt = now
+	}
+	t.dispatch(now)
 	if verdict == schedule.Fenced && c.lease.Token != t.token {
 		verdict = schedule.TooLate // the order carried an earlier token of this term
 	}
--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -44,6 +44,9 @@
 	l.currentLeader, l.leadKeyRevision = Member{}, revision
 	if revision == 0 {
 		l.acquireAt = now.Add(l.config.AcquireDelay)
+		if l.yielding {
+			l.yielding, l.yieldUntil = false, now.Add(resignDelay)
+		}
 	} else if err := cbor.Unmarshal(value, &l.currentLeader); err != nil {
 		klog.ErrorS(err, "lead key cannot be read", "revision", revision)
 	}
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -93,6 +93,11 @@
 	// AcquireDelay delays an attempt to acquire the leadership, so that the hosts
 	// with the most processor time try first.
 	AcquireDelay time.Duration
+	// MilliCores is the processor time that this host may use, in thousandths of a
+	// core.
+	MilliCores int64
+	// reports holds the reports of other hosts; the Group sets it.
+	reports *hostReports
 	// Clock is monotonic and includes time during which the machine is
 	// suspended; TimeOfDay is wall-clock time, which may jump.
 	Clock     func() time.Time
--- a/internal/process/leader/duties.go
+++ b/internal/process/leader/duties.go
@@ -27,7 +27,11 @@
 
 // acquireDue is when the host tries to acquire the leadership if it is free.
 func (l *Leader) acquireDue() time.Time {
-	return l.acquireAt.Add(time.Duration(l.otherDuties()) * dutyDelay)
+	due := l.acquireAt.Add(time.Duration(l.otherDuties()) * dutyDelay)
+	if due.Before(l.yieldUntil) {
+		return l.yieldUntil
+	}
+	return due
 }
 
 // reserveDuty counts this shard. It returns false if the number of other duties
--- a/internal/process/leader/group.go
+++ b/internal/process/leader/group.go
@@ -42,8 +42,9 @@
 		config: config,
 	}
 	duties := &Duties{}
+	group.config.Leader.reports = newHostReports()
 	for number := range config.Layout.Shards {
-		each := config.Leader
+		each := group.config.Leader
 		each.Shard, each.Shards = number, config.Layout.Shards
 		each.UsualShard = config.Layout.OfJob
 		each.Keys = KeysOf(number, config.Layout.Shards)
@@ -128,6 +129,11 @@
 	g.leaders[question.Shard].Ask(question, reply)
 }
 
+// Report notes what another host has reported.
+func (g *Group) Report(host string, report HostReport) {
+	g.config.Leader.reports.add(host, report, g.config.Leader.Clock())
+}
+
 // Resign gives up all leaderships for good. It waits for the removal of the lead
 // keys until the context ends.
 func (g *Group) Resign(ctx context.Context) {
--- a/internal/process/leader/handover.go
+++ b/internal/process/leader/handover.go
@@ -16,6 +16,14 @@
 // workers.
 const maxHandoverBytes = 512 << 10
 
+// handoverRecord is the value of the handover key. Its own fields have numbers
+// far above those of schedule.Handover.
+type handoverRecord struct {
+	schedule.Handover
+	// Resignations are the last resignations in favour of a better host, by cause.
+	Resignations map[resignCause]pastResignation `cbor:"64,keyasint,omitempty"`
+}
+
 // resignation removes the lead key in the background and writes the handover in
 // the same commit.
 type resignation struct {
@@ -23,7 +31,7 @@
 	keys  Keys
 	// revision is the lead key's in the term that ends.
 	revision int64
-	handover schedule.Handover
+	handover handoverRecord
 	done     chan struct{}
 }
 
@@ -40,12 +48,10 @@
 		},
 		Delete: []string{r.keys.Lead},
 	}
-	value, err := cbor.Marshal(r.handover)
+	value, err := r.encode()
 	switch {
 	case err != nil:
 		klog.ErrorS(err, "handover cannot be encoded", "token", r.revision)
-	case len(value) > maxHandoverBytes:
-		klog.InfoS("handover is too large", "token", r.revision, "bytes", len(value))
 	default:
 		commit.Set = []store.Write{
 			{
@@ -59,6 +65,19 @@
 		"bytes", len(value), "err", err)
 }
 
+// encode returns the record. If the handover is too large, it has only the
+// resignations, under a token that no leader has.
+func (r *resignation) encode() ([]byte, error) {
+	value, err := cbor.Marshal(r.handover)
+	if err != nil || len(value) <= maxHandoverBytes {
+		return value, err
+	}
+	klog.InfoS("handover is too large", "token", r.revision, "bytes", len(value))
+	return cbor.Marshal(handoverRecord{
+		Resignations: r.handover.Resignations,
+	})
+}
+
 // loadHandover reads the handover of the leader before. It is ignored if another
 // leader has led since it was written. Errors: those of the store.
 func (a *acquisition) loadHandover(ctx context.Context, result *acquisitionResult) error {
@@ -70,13 +89,14 @@
 	if err != nil {
 		return fmt.Errorf("read key %s: %w", key, err)
 	}
-	var handover schedule.Handover
+	var handover handoverRecord
 	if err := cbor.Unmarshal(item.Value, &handover); err != nil {
 		klog.ErrorS(err, "handover cannot be read", "revision", item.Revision)
 		return nil
 	}
-	if handover.Token == result.earlierToken {
-		result.handover = &handover
+	result.resignations = handover.Resignations
+	if handover.Token == result.earlierToken && handover.Token != 0 {
+		result.handover = &handover.Handover
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/process/leader/lagwatch_test.go
@@ -0,0 +1,386 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/process/schedule"
+	"mustardreach.example/mustardreach/internal/process/shard"
+	"mustardreach.example/mustardreach/internal/process/store"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// slowdown takes six of seven parts of a loop's time, as a processor does that
+// runs at a seventh of its speed.
+type slowdown struct {
+	leader *Leader
+}
+
+func (s *slowdown) run(ctx context.Context) {
+	const period = 350 * time.Millisecond
+	for ctx.Err() == nil {
+		paused := make(chan struct{})
+		s.leader.post(func(time.Time) {
+			time.Sleep(period * 6 / 7)
+			close(paused)
+		})
+		<-paused
+		time.Sleep(period / 7)
+	}
+}
+
+// load submits quick jobs, as many as the callers of K.
+type load struct {
+	site *site
+}
+
+func (l *load) run(ctx context.Context) {
+	for number := 0; ctx.Err() == nil; number++ {
+		l.site.submit(fmt.Sprintf("load-%d", number))
+		time.Sleep(70 * time.Millisecond)
+	}
+}
+
+// reporter reports a good host to a group.
+type reporter struct {
+	to   *Group
+	host string
+}
+
+func (r *reporter) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.to.Report(r.host, HostReport{
+			MilliCores: 800,
+		})
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// startPair starts a leader, and a second host that does not lead. The leader's
+// term has settled when it returns.
+func (s *site) startPair() (first, second *Group) {
+	first = s.startGroup(s.t.Context(), "recife-1", shard.Solo())
+	s.submit("settled")
+	s.waitCompleted(first.leaders[0], "settled")
+	second = s.startGroup(s.t.Context(), "olinda-1", shard.Solo())
+	time.Sleep(settleTime)
+	return first, second
+}
+
+// Load pattern: quick jobs arrive while the leader's host has a seventh of its
+// normal speed, beside a host at normal speed. Without reports of that host the decision is off and the
+// jobs wait for the slow host.
+func TestSlowLeaderResigns(t *testing.T) {
+	// maxDetection is lagTime, the time of the first late event and samples that
+	// are late themselves.
+	const maxDetection = lagTime + time.Second
+	tests := map[string]struct {
+		reports bool
+	}{
+		"on": {
+			reports: true,
+		},
+		"off": {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			first, second := s.startPair()
+			if tt.reports {
+				good := &reporter{
+					to:   first,
+					host: "olinda-1",
+				}
+				go good.run(t.Context())
+				time.Sleep(steadyTime + 300*time.Millisecond)
+			}
+			slow := &slowdown{
+				leader: first.leaders[0],
+			}
+			quick := &load{
+				site: s,
+			}
+			go quick.run(t.Context())
+			slowAt := time.Now()
+			go slow.run(t.Context())
+			if !tt.reports {
+				time.Sleep(2 * maxDetection)
+				assert.True(t, first.leaders[0].leading.Load(), "no better host is known")
+				return
+			}
+			require.Eventually(t, second.leaders[0].leading.Load, waitTimeout, time.Millisecond)
+			assert.Less(t, time.Since(slowAt), maxDetection)
+			s.submit("a")
+			s.waitCompleted(second.leaders[0], "a")
+			assert.Less(t, time.Since(slowAt), 2*maxDetection)
+			past := make(chan map[resignCause]pastResignation, 1)
+			second.leaders[0].post(func(now time.Time) { past <- second.leaders[0].lag.judge.past(now) })
+			assert.Equal(t, 1, (<-past)[causeLag].Count, "the successor knows of the resignation")
+		})
+	}
+}
+
+// resignForLag makes the leader resign as if its host lagged.
+func resignForLag(t *testing.T, l *Leader) {
+	t.Helper()
+	resigned := make(chan struct{})
+	l.post(func(now time.Time) {
+		l.resignFor(t.Context(), &lagSample{
+			at: now,
+		}, &lagVerdict{
+			cause: causeLag,
+		})
+		close(resigned)
+	})
+	<-resigned
+}
+
+// A host that resigned leaves the leadership to others for a while. If there are
+// none, it leads again: a slow leader is better than none.
+func TestResignedHostLeadsAgainIfNobodyElseDoes(t *testing.T) {
+	s := newSite(t)
+	leading, _ := s.startLeader("recife-1")
+	s.submit("a")
+	s.waitCompleted(leading, "a")
+	resignForLag(t, leading)
+	resignedAt := time.Now()
+	s.submit("b")
+	s.waitCompleted(leading, "b")
+	took := time.Since(resignedAt)
+	assert.GreaterOrEqual(t, took, resignDelay)
+	assert.Less(t, took, 2*resignDelay)
+}
+
+// Another host takes the leadership first, although the one that resigned has
+// the shorter delay by its processor time.
+func TestResignedHostLeavesTheLeadershipToOthers(t *testing.T) {
+	s := newSite(t)
+	first, _ := s.startLeader("recife-1")
+	s.submit("a")
+	s.waitCompleted(first, "a")
+	second := s.leaderConfig("olinda-1")
+	second.AcquireDelay = 200 * time.Millisecond
+	group := s.startConfigured(t.Context(), second, shard.Solo())
+	time.Sleep(2 * tick)
+	resignForLag(t, first)
+	s.submit("b")
+	s.waitCompleted(group.leaders[0], "b")
+	assert.False(t, first.leading.Load())
+}
+
+// Failure: the write of the resignation is lost or its answer is. The term ends
+// by its own lease at the latest, and one host leads.
+func TestLostResignationEndsWithTheLease(t *testing.T) {
+	tests := map[string]struct {
+		err     error
+		delayed bool
+		within  time.Duration
+	}{
+		"not written": {
+			err:    store.ErrUnavailable,
+			within: leaseTTL + time.Second,
+		},
+		"written late": {
+			err:     store.ErrUnknown,
+			delayed: true,
+			within:  leaseTTL + time.Second,
+		},
+		"answer lost": {
+			err:    store.ErrUnknown,
+			within: time.Second,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			first, _ := s.startLeader("recife-1")
+			s.submit("a")
+			s.waitCompleted(first, "a")
+			second, _ := s.startLeader("olinda-1")
+			time.Sleep(2 * tick)
+			s.store.SetFault(func(call string) error {
+				if call == "commit" {
+					return tt.err
+				}
+				return nil
+			}, tt.delayed)
+			resignForLag(t, first)
+			resignedAt := time.Now()
+			time.Sleep(tick) // the write has failed
+			s.store.SetFault(func(string) error { return nil }, false)
+			s.submit("b")
+			require.Eventually(t, func() bool {
+				return state(first, "b").State == work.Completed || state(second, "b").State == work.Completed
+			}, waitTimeout, time.Millisecond)
+			assert.Less(t, time.Since(resignedAt), tt.within)
+			s.store.ApplyDelayed()
+			s.submit("c")
+			require.Eventually(t, func() bool {
+				return state(first, "c").State == work.Completed || state(second, "c").State == work.Completed
+			}, waitTimeout, time.Millisecond)
+			assert.False(t, first.leading.Load() && second.leading.Load())
+			for _, id := range []string{"b", "c"} {
+				assert.Equal(t, 1, s.workers.started(work.TaskKey{
+					Job: id,
+				}), "no task ran twice")
+			}
+		})
+	}
+}
+
+// A leader that lags has orders that wait. Their tasks must not be handed over as
+// possibly running: a successor would wait for a worker that never got them.
+func TestOrdersNotSentAreNotHandedOver(t *testing.T) {
+	const tasks = maxCalls + 8
+	s := newSite(t)
+	config := s.leaderConfig("recife-1")
+	config.Calls.Start = func(ctx context.Context, _ Target, _ Lease, _ schedule.Start) (schedule.Verdict, time.Duration) {
+		<-ctx.Done() // the order is on its way until the term ends
+		return schedule.Unknown, 0
+	}
+	first := s.startConfigured(t.Context(), config, shard.Solo()).leaders[0]
+	s.submitStep("wide", work.Step{
+		Count: tasks,
+		Label: "r1",
+		Size: worker.Size{
+			MilliCores: 50,
+		},
+	})
+	waiting := func() int {
+		count := make(chan int, 1)
+		first.post(func(time.Time) {
+			if first.term == nil {
+				count <- 0
+				return
+			}
+			count <- len(first.term.waiting)
+		})
+		return <-count
+	}
+	require.Eventually(t, func() bool { return waiting() == tasks-maxCalls }, callTimeout, time.Millisecond)
+	s.leave("w1")
+	resignForLag(t, first)
+	var record handoverRecord
+	require.Eventually(t, func() bool {
+		item, err := s.store.Client().Get(t.Context(), soloKeys.Handover)
+		return err == nil && cbor.Unmarshal(item.Value, &record) == nil
+	}, waitTimeout, time.Millisecond)
+	assert.Len(t, record.Claims["w1"], maxCalls)
+	assert.Equal(t, 1, record.Resignations[causeLag].Count)
+	s.relabel("w0", "r1")
+	second, _ := s.startLeader("olinda-1")
+	started := func() int {
+		count := 0
+		for index := range tasks {
+			count += min(1, s.workers.started(work.TaskKey{
+				Job:   "wide",
+				Index: index,
+			}))
+		}
+		return count
+	}
+	require.Eventually(t, func() bool { return started() == tasks-maxCalls }, leaseTTL, time.Millisecond,
+		"tasks whose orders were not sent start at once")
+	assert.True(t, state(second, "wide").Known)
+}
+
+// A resignation must not make tasks wait anew: jobs that waited for a worker
+// which is gone go on waiting only for what is left of its lease, through
+// several resignations.
+func TestResignationsDoNotRestartTheWaitForAWorker(t *testing.T) {
+	s := newSite(t)
+	var hosts []*Leader
+	for number := range 4 {
+		host, _ := s.startLeader(fmt.Sprintf("host-%d", number))
+		hosts = append(hosts, host)
+	}
+	s.submitLongRunning("server", "r1")
+	startedAt := func() string {
+		s.workers.mu.Lock()
+		defer s.workers.mu.Unlock()
+		return s.workers.startedAt[work.TaskKey{
+			Job: "server",
+		}]
+	}
+	require.Eventually(t, func() bool { return startedAt() == "w1" }, waitTimeout, time.Millisecond)
+	s.leave("w1")
+	leftAt := time.Now()
+	s.relabel("w0", "r1")
+	for range 3 {
+		time.Sleep(time.Second)
+		index := slices.IndexFunc(hosts, func(host *Leader) bool { return host.leading.Load() })
+		require.GreaterOrEqual(t, index, 0)
+		resignForLag(t, hosts[index])
+		require.Eventually(t, func() bool {
+			return slices.ContainsFunc(hosts, func(host *Leader) bool { return host.leading.Load() })
+		}, waitTimeout, time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return startedAt() == "w0" }, waitTimeout, time.Millisecond)
+	assert.Less(t, time.Since(leftAt), s.leaderConfig("").Board.LeaseTerm+ActTerm, "each successor began the wait anew")
+}
+
+// A handover that is too large for one write must still tell when the leader
+// resigned, and must not claim to know where tasks run.
+func TestTooLargeHandoverKeepsTheResignations(t *testing.T) {
+	claims := map[string][]work.TaskKey{}
+	for index := range 20000 {
+		claims[fmt.Sprintf("worker-with-a-long-name-%d", index)] = nil
+	}
+	large := &resignation{
+		handover: handoverRecord{
+			Handover: schedule.Handover{
+				Token:  7,
+				Claims: claims,
+			},
+			Resignations: map[resignCause]pastResignation{
+				causeLag: {
+					Count: 1,
+				},
+			},
+		},
+	}
+	value, err := large.encode()
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(value), maxHandoverBytes)
+	var read handoverRecord
+	require.NoError(t, cbor.Unmarshal(value, &read))
+	assert.Equal(t, large.handover.Resignations, read.Resignations)
+	assert.Zero(t, read.Token, "no leader has this token, so that the handover is not applied")
+}
+
+// Hosts of both releases run side by side: a record of the earlier release has no
+// resignations, and the earlier release reads a record of this one.
+func TestHandoverRecordIsReadByBothReleases(t *testing.T) {
+	earlier := schedule.Handover{
+		Token:     7,
+		Uncertain: []string{"a"},
+		Waits: map[string]time.Duration{
+			"w0": time.Second,
+		},
+	}
+	value, err := cbor.Marshal(earlier)
+	require.NoError(t, err)
+	var record handoverRecord
+	require.NoError(t, cbor.Unmarshal(value, &record))
+	assert.Equal(t, earlier, record.Handover)
+	assert.Empty(t, record.Resignations)
+	record.Resignations = map[resignCause]pastResignation{
+		causeLag: {
+			Age:   time.Second,
+			Count: 2,
+		},
+	}
+	value, err = cbor.Marshal(record)
+	require.NoError(t, err)
+	var again schedule.Handover
+	require.NoError(t, cbor.Unmarshal(value, &again))
+	assert.Equal(t, earlier, again)
+}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -13,7 +13,7 @@
 // Leader competes for the leadership and schedules jobs while it holds it.
 type Leader struct {
 	config Config
-	events chan func(now time.Time)
+	events chan queuedEvent
 	// callSlots limits the orders in flight.
 	callSlots chan struct{}
 
@@ -27,7 +27,12 @@
 	currentLeader   Member
 	leadKeyRevision int64
 	// acquireAt is when this host tries to acquire an unoccupied leadership.
-	acquireAt      time.Time
+	acquireAt time.Time
+	// yielding is set from a resignation in favour of a better host until the
+	// lead key is gone; until yieldUntil this host leaves the leadership to others.
+	yielding       bool
+	yieldUntil     time.Time
+	lag            lagWatch
 	acquiring      bool
 	catalog        *catalog.Catalog
 	evacuatedZones map[string]bool
@@ -44,7 +49,7 @@
 func New(config Config) *Leader {
 	return &Leader{
 		config:         config,
-		events:         make(chan func(now time.Time), eventBuffer),
+		events:         make(chan queuedEvent, eventBuffer),
 		callSlots:      make(chan struct{}, maxCalls),
 		catalog:        &catalog.Catalog{},
 		evacuatedZones: map[string]bool{},
@@ -53,7 +58,10 @@
 
 // post sends an event to the loop.
 func (l *Leader) post(event func(now time.Time)) {
-	l.events <- event
+	l.events <- queuedEvent{
+		handle: event,
+		at:     l.config.Clock(),
+	}
 }
 
 // SetCatalog puts a configuration version in force.
@@ -85,7 +93,7 @@
 		case <-ctx.Done():
 			return
 		case event := <-l.events:
-			event(l.config.Clock())
+			l.handle(event)
 			l.drainEvents()
 		case <-timer.C:
 		}
@@ -118,24 +126,41 @@
 	for range maxEvents {
 		select {
 		case event := <-l.events:
-			event(l.config.Clock())
+			l.handle(event)
 		default:
 			return
 		}
 	}
 }
 
+func (l *Leader) handle(event queuedEvent) {
+	now := l.config.Clock()
+	l.lag.eventWaited(now.Sub(event.at))
+	event.handle(now)
+}
+
 func (l *Leader) step(ctx context.Context) {
 	now := l.config.Clock()
 	l.compete(ctx, now)
 	if l.term == nil || !l.term.ready {
 		return
 	}
+	l.lag.stepped(now)
 	l.term.renew(ctx, now)
+	if l.term.checkLag(ctx, now) {
+		return
+	}
 	if wait := decideGap - now.Sub(l.decidedAt); wait > 0 {
+		if l.term.decideDue.IsZero() {
+			l.term.decideDue = now.Add(wait)
+		}
 		l.term.wakeIn(wait)
 		return
 	}
+	if !l.term.decideDue.IsZero() {
+		l.lag.decisionLate(now.Sub(l.term.decideDue))
+		l.term.decideDue = time.Time{}
+	}
 	l.decidedAt = now
 	l.term.pollWorkers(now)
 	l.board.LimitStarts(maxOrders - len(l.term.waiting))
@@ -204,13 +229,8 @@
 			close(done)
 			return
 		}
-		resignation := &resignation{
-			store:    l.config.Store,
-			keys:     l.config.Keys,
-			revision: l.term.token,
-			handover: l.board.Handover(now),
-			done:     done,
-		}
+		resignation := l.newResignation(now)
+		resignation.done = done
 		l.stepDown("resigned")
 		go resignation.run(ctx)
 	})
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -206,8 +206,13 @@
 
 // startGroup starts a host of a fleet with the layout.
 func (s *site) startGroup(ctx context.Context, host string, layout shard.Layout) *Group {
+	return s.startConfigured(ctx, s.leaderConfig(host), layout)
+}
+
+// startConfigured starts a host with a configuration.
+func (s *site) startConfigured(ctx context.Context, config Config, layout shard.Layout) *Group {
 	group := NewGroup(GroupConfig{
-		Leader:        s.leaderConfig(host),
+		Leader:        config,
 		Layout:        layout,
 		LeaderChanged: func(int, Member) {},
 	})
@@ -246,6 +251,7 @@
 			var listing schedule.Listing
 			return listing, cbor.Unmarshal(item.Value, &listing)
 		},
+		MilliCores:     800,
 		Clock:          time.Now,
 		TimeOfDay:      time.Now,
 		Counts:         new(expvar.Map).Init(),
--- a/internal/process/leader/renewal.go
+++ b/internal/process/leader/renewal.go
@@ -16,6 +16,11 @@
 	if t.renewing || t.unoccupied || now.Sub(t.renewedAt) < renewInterval {
 		return
 	}
+	due := t.renewedAt.Add(renewInterval)
+	if due.Before(t.renewalAnsweredAt) {
+		due = t.renewalAnsweredAt // the store was late, and not this host
+	}
+	t.leader.lag.renewalLate(now.Sub(due))
 	t.renewing = true
 	renewal := &renewalCall{
 		term:  t,
@@ -41,7 +46,7 @@
 }
 
 func (t *term) handleRenewal(c *renewalCall, err error, now time.Time) {
-	t.renewing, t.renewedAt = false, c.sent
+	t.renewing, t.renewedAt, t.renewalAnsweredAt = false, c.sent, now
 	if c.token != t.token {
 		return
 	}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -28,6 +28,8 @@
 	actUntil  time.Time
 	renewedAt time.Time
 	renewing  bool
+	// renewalAnsweredAt is when the last renewal was answered or failed.
+	renewalAnsweredAt time.Time
 
 	listings map[string]schedule.Listing
 	// listReadAt is when the list of workers was last read, listFailedAt when
@@ -42,6 +44,9 @@
 	ticketRequests         []schedule.TicketRequest
 	ticketRequestsInFlight int
 
+	// decideDue is when the next decision is due, zero if none is.
+	decideDue time.Time
+
 	savingProgress  bool
 	progressSavedAt time.Time
 	jobsDeletedAt   time.Time
@@ -105,6 +110,7 @@
 		l.board.Cancel(id, now)
 	}
 	t.moves = newMoves(t, result)
+	l.lag.began(result.resignations, now)
 	l.leading.Store(true)
 	t.watchStore(result.revision)
 	t.updateLinks(now)
