A leader that has lost its links resigns if another host reaches the workers

Change: while a tenth of the links to listed workers, at least 2, do not answer for 500 ms, the leader asks up to 4 able hosts a second to open connections to a sample of workers, and tries the same from its own host. It resigns if one reaches most of the lost workers and all others, and this host hardly any of the lost ones.

--- a/internal/connection/inquiry/inquiry.go
+++ b/internal/connection/inquiry/inquiry.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -25,10 +26,6 @@
 // part of a caller's timeout.
 const answerTimeout = 300 * time.Millisecond
 
-// reportInterval is how often a host reports to each leader. With four leaders
-// this is about 400 bytes a second for a host.
-const reportInterval = time.Second
-
 // Config sets up a Client.
 type Config struct {
 	Host string
@@ -43,6 +40,8 @@
 	// Report returns this host's report; Reported is called with those of others.
 	Report   func() leader.HostReport
 	Reported func(host string, report leader.HostReport)
+	// Reach tries to reach a worker.
+	Reach func(ctx context.Context, worker netip.AddrPort) bool
 }
 
 // Client asks the leader questions, and answers those of other hosts while this
@@ -60,6 +59,8 @@
 	// asked holds the hosts that were sent a question since the last round of
 	// reports.
 	asked map[string]bool
+	// probing is set while this host answers a probe.
+	probing atomic.Bool
 }
 
 // New returns a Client; Run must be called for it to exchange messages with
@@ -144,52 +145,14 @@
 		case <-ctx.Done():
 			return
 		case event := <-c.config.Inbox:
-			c.handle(event)
+			c.handle(ctx, event)
 		case <-ticker.C:
 			c.reportToLeaders()
 		}
 	}
 }
 
-// report returns this host's report as it is sent.
-func (c *Client) report() *message.HostReport {
-	report := c.config.Report()
-	return &message.HostReport{
-		MilliCores: report.MilliCores,
-		Lag:        report.Lag,
-	}
-}
-
-// reportToLeaders sends a report to each leader that was sent no question since
-// the last round.
-func (c *Client) reportToLeaders() {
-	for _, host := range c.unasked() {
-		err := c.config.Hub.Send(host, message.KindQuestion, message.Question{
-			Report: c.report(),
-		})
-		if err != nil {
-			klog.V(1).InfoS("report not sent", "host", host, "err", err)
-		}
-	}
-}
-
-// unasked returns the other hosts that lead and were sent no question since the
-// last call.
-func (c *Client) unasked() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var hosts []string
-	for _, member := range c.leaders {
-		if member.Host == "" || member.Host == c.config.Host || c.asked[member.Host] || slices.Contains(hosts, member.Host) {
-			continue
-		}
-		hosts = append(hosts, member.Host)
-	}
-	clear(c.asked)
-	return hosts
-}
-
-func (c *Client) handle(event peer.Event) {
+func (c *Client) handle(ctx context.Context, event peer.Event) {
 	if event.Up {
 		c.greet(event.From.Host)
 		return
@@ -201,6 +164,9 @@
 			klog.ErrorS(err, "question cannot be read", "host", event.From.Host)
 			return
 		}
+		if question.Probe != nil {
+			c.answerProbe(ctx, event.From.Host, question.Probe)
+		}
 		c.answer(event.From.Host, event.From.Peers, question)
 	case message.KindAnswer:
 		answer, err := message.Open[message.Answer](event.Envelope)
@@ -230,6 +196,8 @@
 		c.config.Reported(host, leader.HostReport{
 			MilliCores: report.MilliCores,
 			Lag:        report.Lag,
+			Probe:      report.Probe,
+			Reached:    report.Reached,
 		})
 	}
 	if question.Job == "" && question.Queue == "" {
--- a/internal/connection/message/message.go
+++ b/internal/connection/message/message.go
@@ -201,6 +201,14 @@
 	Shard int `cbor:"4,keyasint,omitempty"`
 	// Report is the sender's newest; nil if it is of an earlier release.
 	Report *HostReport `cbor:"5,keyasint,omitempty"`
+	// Probe is sent by a leader and asks which workers the receiver reaches.
+	Probe *Probe `cbor:"6,keyasint,omitempty"`
+}
+
+// Probe asks which workers a host reaches; a HostReport answers it.
+type Probe struct {
+	Number  uint64           `cbor:"1,keyasint"`
+	Workers []netip.AddrPort `cbor:"2,keyasint"`
 }
 
 // HostReport tells a leader how well the sender keeps up.
@@ -210,6 +218,10 @@
 	MilliCores int64 `cbor:"1,keyasint,omitempty"`
 	// Lag is how late the sender's timers were lately.
 	Lag time.Duration `cbor:"2,keyasint,omitempty"`
+	// Probe is the number of the probe that is answered; bit i of Reached is set
+	// if its worker i was reached.
+	Probe   uint64 `cbor:"3,keyasint,omitempty"`
+	Reached uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Answer is the leader's answer to a Question.
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -96,6 +96,10 @@
 	// MilliCores is the processor time that this host may use, in thousandths of a
 	// core.
 	MilliCores int64
+	// Reach tries to reach a worker without an order; SendProbe asks another host
+	// which workers it reaches. Without Reach, lost links are no cause to resign.
+	Reach     func(ctx context.Context, worker netip.AddrPort) bool
+	SendProbe func(host string, probe Probe)
 	// reports holds the reports of other hosts; the Group sets it.
 	reports *hostReports
 	// Clock is monotonic and includes time during which the machine is
--- a/internal/process/leader/handover.go
+++ b/internal/process/leader/handover.go
@@ -65,6 +65,23 @@
 		"bytes", len(value), "err", err)
 }
 
+// resignationsAfter returns the resignations for a leader that follows the one
+// with the token. If others have led since the record was written, it may be old:
+// the resignations are then no longer counted as a series.
+func (r *handoverRecord) resignationsAfter(token int64) map[resignCause]pastResignation {
+	if r.Token == token {
+		return r.Resignations
+	}
+	past := map[resignCause]pastResignation{}
+	for cause, each := range r.Resignations {
+		past[cause] = pastResignation{
+			Age:   each.Age,
+			Count: 1,
+		}
+	}
+	return past
+}
+
 // encode returns the record. If the handover is too large, it has only the
 // resignations, under a token that no leader has.
 func (r *resignation) encode() ([]byte, error) {
@@ -94,7 +111,7 @@
 		klog.ErrorS(err, "handover cannot be read", "revision", item.Revision)
 		return nil
 	}
-	result.resignations = handover.Resignations
+	result.resignations = handover.resignationsAfter(result.earlierToken)
 	if handover.Token == result.earlierToken && handover.Token != 0 {
 		result.handover = &handover.Handover
 	}
--- a/internal/process/leader/lag.go
+++ b/internal/process/leader/lag.go
@@ -24,6 +24,10 @@
 	// no more than its share of the processor may still be paused for most of a
 	// scheduling period, which is 100 ms.
 	maxHostLag = 100 * time.Millisecond
+	// minLostLinks and lostShare say when many links are lost: one of lostShare,
+	// which is the share of the workers that a slow leader may cost.
+	minLostLinks = 2
+	lostShare    = 10
 	// lagTime is how long a cause has to last. A change of the leader takes about
 	// 0.7 s, so that with this time the jobs that arrived first are still served
 	// within the 1.2 s that a quick job can wait.
@@ -37,13 +41,6 @@
 	// the sample after it count less than lagTime, so that a single pause is no
 	// lasting lag.
 	maxSampleGap = 3 * tick
-	// minResignGap is the minimum time between two resignations for the same
-	// cause. A change of the leader stops the starts for about a second: a tenth
-	// of this time, which is the share that callers may lose to a slow leader.
-	minResignGap = 10 * time.Second
-	// maxGapDoublings limits how often minResignGap is doubled while
-	// resignations do not help: the load is then the cause, and not the host.
-	maxGapDoublings = 4
 	// reportAge is how old the report of a host that keeps up may be: two
 	// reports and some delay.
 	reportAge = 2500 * time.Millisecond
@@ -52,7 +49,13 @@
 // resignCause is why a leader resigns while its host goes on running.
 type resignCause string
 
-const causeLag resignCause = "lag"
+// The causes.
+const (
+	causeLag resignCause = "lag"
+	// causeLinks is the loss of the links to many workers that another host can
+	// reach.
+	causeLinks resignCause = "links"
+)
 
 // lagSample is what the decision is taken from.
 type lagSample struct {
@@ -63,6 +66,8 @@
 	// a call slot, and renewal how late the lease was renewed: the worst since the
 	// previous sample.
 	loop, events, orders, renewal time.Duration
+	// links are the links to workers on the list, lost those that do not answer.
+	links, lost int
 	// milliCores is the processor time of this host, in thousandths of a core.
 	milliCores int64
 	// hosts are the other hosts that have reported.
@@ -82,6 +87,11 @@
 	// reportedAt is when its newest report came; steadySince is when the first of
 	// an unbroken series of reports without lag came, zero if the newest has one.
 	reportedAt, steadySince time.Time
+	// probe is the newest probe that the host has answered, with the workers that
+	// it reached.
+	probe, reached uint64
+	// reaches is set if it reaches workers that this host has lost.
+	reaches bool
 }
 
 // withheld is why a leader with a cause does not resign.
@@ -106,25 +116,6 @@
 	return v.cause != "" && v.withheld == ""
 }
 
-// pastResignation is the last resignation for a cause, as it is handed over.
-type pastResignation struct {
-	// Age is how long ago it was when the record was written.
-	Age time.Duration `cbor:"1,keyasint,omitempty"`
-	// Count is the number of resignations in a row that did not help.
-	Count int `cbor:"2,keyasint"`
-}
-
-// lastResignation is the same on this host's clock.
-type lastResignation struct {
-	at    time.Time
-	count int
-}
-
-// nextAt is the earliest time of another resignation for the cause.
-func (r lastResignation) nextAt() time.Time {
-	return r.at.Add(minResignGap << min(max(r.count-1, 0), maxGapDoublings))
-}
-
 // lagJudge decides whether a leader resigns because its host does not keep up.
 type lagJudge struct {
 	// behind is for how long the leader has been late. Times at which it is not
@@ -134,7 +125,9 @@
 	// delay and sampledAt are those of the previous sample.
 	delay     time.Duration
 	sampledAt time.Time
-	last      map[resignCause]lastResignation
+	// cutOff is the same for lost links.
+	cutOff time.Duration
+	last   map[resignCause]lastResignation
 }
 
 // judge decides on a sample. Samples are given in the order of their times.
@@ -144,7 +137,7 @@
 	catchingUp := j.delay-sample.delay() >= passed/2
 	j.sampledAt, j.delay = sample.at, sample.delay()
 	if sample.at.Sub(sample.began) < settleTime {
-		j.behind = 0
+		j.reset()
 		return lagVerdict{}
 	}
 	switch {
@@ -153,17 +146,35 @@
 	case sample.delay() <= maxDelay:
 		j.behind = max(0, j.behind-gap)
 	}
-	if j.behind < lagTime {
-		return lagVerdict{}
+	if sample.lost >= minLostLinks && lostShare*sample.lost >= sample.links {
+		j.cutOff = min(lagTime, j.cutOff+gap)
+	} else {
+		j.cutOff = max(0, j.cutOff-gap)
 	}
-	return j.decide(causeLag, sample)
+	verdict := lagVerdict{}
+	if j.behind >= lagTime {
+		verdict = j.decide(causeLag, sample)
+	}
+	if !verdict.resigns() && j.isCutOff() {
+		verdict = j.decide(causeLinks, sample)
+	}
+	return verdict
+}
+
+// isCutOff reports whether many links have been lost for lagTime.
+func (j *lagJudge) isCutOff() bool {
+	return j.cutOff >= lagTime
+}
+
+func (j *lagJudge) reset() {
+	j.behind, j.cutOff, j.delay = 0, 0, 0
 }
 
 func (j *lagJudge) decide(cause resignCause, sample *lagSample) lagVerdict {
 	verdict := lagVerdict{
 		cause: cause,
 	}
-	better, found := betterHost(sample)
+	better, found := betterHost(sample, cause)
 	if !found {
 		verdict.withheld = withheldNoHost
 		return verdict
@@ -175,15 +186,25 @@
 	return verdict
 }
 
-// betterHost returns the host with the least lag among those that keep up and
-// have at least this host's processor time.
-func betterHost(sample *lagSample) (knownHost, bool) {
+// ableHosts returns the hosts that keep up and have at least this host's
+// processor time.
+func (s *lagSample) ableHosts() []knownHost {
 	var able []knownHost
-	for _, host := range sample.hosts {
-		if host.keepsUp(sample.at) && host.milliCores > 0 && host.milliCores >= sample.milliCores {
+	for _, host := range s.hosts {
+		if host.keepsUp(s.at) && host.milliCores > 0 && host.milliCores >= s.milliCores {
 			able = append(able, host)
 		}
 	}
+	return able
+}
+
+// betterHost returns the able host with the least lag that does not have the
+// cause.
+func betterHost(sample *lagSample, cause resignCause) (knownHost, bool) {
+	able := sample.ableHosts()
+	if cause == causeLinks {
+		able = slices.DeleteFunc(able, func(host knownHost) bool { return !host.reaches })
+	}
 	if len(able) == 0 {
 		return knownHost{}, false
 	}
@@ -197,53 +218,3 @@
 func (h *knownHost) keepsUp(now time.Time) bool {
 	return now.Sub(h.reportedAt) <= reportAge && !h.steadySince.IsZero() && h.reportedAt.Sub(h.steadySince) >= steadyTime
 }
-
-// resigned notes a resignation. It counts as one in a row unless twice the
-// minimum time has passed since the last.
-func (j *lagJudge) resigned(cause resignCause, now time.Time) {
-	last, ok := j.last[cause]
-	count := 1
-	if ok && now.Sub(last.at) < 2*last.nextAt().Sub(last.at) {
-		count = min(last.count+1, maxGapDoublings+1)
-	}
-	j.note(cause, lastResignation{
-		at:    now,
-		count: count,
-	})
-	j.behind = 0
-}
-
-func (j *lagJudge) note(cause resignCause, last lastResignation) {
-	if j.last == nil {
-		j.last = map[resignCause]lastResignation{}
-	}
-	j.last[cause] = last
-}
-
-// past returns the resignations that a successor must know.
-func (j *lagJudge) past(now time.Time) map[resignCause]pastResignation {
-	past := map[resignCause]pastResignation{}
-	for cause, last := range j.last {
-		past[cause] = pastResignation{
-			Age:   max(0, now.Sub(last.at)),
-			Count: last.count,
-		}
-	}
-	return past
-}
-
-// restore adds the resignations in a record of an earlier leader. How old the
-// record is, is not known; it counts as written now, so that the minimum time
-// is never cut short.
-func (j *lagJudge) restore(past map[resignCause]pastResignation, now time.Time) {
-	for cause, each := range past {
-		at := now.Add(-max(0, each.Age))
-		if last, ok := j.last[cause]; ok && last.at.After(at) {
-			continue
-		}
-		j.note(cause, lastResignation{
-			at:    at,
-			count: min(max(each.Count, 1), maxGapDoublings+1),
-		})
-	}
-}
--- a/internal/process/leader/lagwatch.go
+++ b/internal/process/leader/lagwatch.go
@@ -32,6 +32,7 @@
 	steppedAt time.Time
 	// unansweredAt is when a call to a worker was last left without an answer.
 	unansweredAt time.Time
+	reach        reachTest
 	// reported is the last outcome that was logged.
 	reported withheld
 }
@@ -39,7 +40,8 @@
 // began starts the measurement for a term.
 func (w *lagWatch) began(past map[resignCause]pastResignation, now time.Time) {
 	w.judge.restore(past, now)
-	w.judge.behind, w.judge.delay, w.judge.sampledAt = 0, 0, now
+	w.judge.reset()
+	w.judge.sampledAt, w.reach = now, reachTest{}
 	w.sampledAt, w.steppedAt, w.reported = now, now, ""
 	w.sample = lagSample{
 		began: now,
@@ -89,7 +91,11 @@
 	}
 	watch.sampledAt = now
 	sample.at, sample.milliCores, sample.hosts = now, config.MilliCores, config.reports.recent(now)
+	t.addLinks(&sample)
 	verdict := watch.judge.judge(&sample)
+	if watch.judge.isCutOff() {
+		t.sendProbe(sample.ableHosts(), now)
+	}
 	if verdict.cause == "" {
 		watch.reported = ""
 		return false
@@ -102,6 +108,24 @@
 	return true
 }
 
+// addLinks adds what is known of the links to workers.
+func (t *term) addLinks(sample *lagSample) {
+	for id, workerLink := range t.links {
+		if _, listed := t.listings[id]; !listed {
+			continue
+		}
+		sample.links++
+		if workerLink.lost {
+			sample.lost++
+		}
+	}
+	test := &t.leader.lag.reach
+	for index := range sample.hosts {
+		host := &sample.hosts[index]
+		host.reaches = test.probe.Number != 0 && host.probe == test.probe.Number && test.betterReach(host.reached)
+	}
+}
+
 // logWithheld logs and counts a resignation that is withheld, once for each
 // cause that lasts and each reason.
 func (t *term) logWithheld(sample *lagSample, verdict *lagVerdict) {
@@ -120,6 +144,7 @@
 	return []any{
 		"shard", t.leader.config.Shard, "token", t.token, "cause", verdict.cause,
 		"loop", sample.loop, "events", sample.events, "orders", sample.orders, "renewal", sample.renewal,
+		"links", sample.links, "lost", sample.lost,
 		"cores", float64(sample.milliCores) / 1000, "hosts", len(sample.hosts),
 		"better", verdict.better.name, "better_cores", float64(verdict.better.milliCores) / 1000,
 		"better_lag", verdict.better.lag, "better_age", sample.at.Sub(verdict.better.reportedAt),
--- a/internal/process/leader/reports.go
+++ b/internal/process/leader/reports.go
@@ -12,12 +12,17 @@
 	MilliCores int64
 	// Lag is how late its timers were lately.
 	Lag time.Duration
+	// Probe is the number of the probe that the report answers, zero if none;
+	// Reached has the workers that the host reached.
+	Probe, Reached uint64
 }
 
 // hostReports holds the reports of other hosts. It is safe for concurrent use.
 type hostReports struct {
 	mu    sync.Mutex
 	hosts map[string]knownHost
+	// probe is the number of the newest probe.
+	probe uint64
 }
 
 func newHostReports() *hostReports {
@@ -38,9 +43,20 @@
 		known.steadySince = now
 	}
 	known.name, known.milliCores, known.lag, known.reportedAt = host, report.MilliCores, report.Lag, now
+	if report.Probe != 0 {
+		known.probe, known.reached = report.Probe, report.Reached
+	}
 	r.hosts[host] = known
 }
 
+// nextProbe returns a number for a probe.
+func (r *hostReports) nextProbe() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.probe++
+	return r.probe
+}
+
 // recent returns the hosts with a recent report and forgets the others.
 func (r *hostReports) recent(now time.Time) []knownHost {
 	r.mu.Lock()
--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -21,7 +21,7 @@
 		"delayed", summary.Delayed, "unsettled", len(unsettled), "running", summary.Running,
 		"fillers", summary.Fillers, "serving", summary.Serving, "workers", summary.Workers, "capacity", summary.Capacity,
 		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare,
-		"events", len(t.leader.events), "orders", len(t.waiting))
+		"events", len(t.leader.events), "orders", len(t.waiting), "late", t.leader.lag.judge.delay)
 	if summary.Delayed == 0 {
 		return
 	}
