Probes are answered to leaders only; tests of resignations less dependent on timing

Cause: any host with the fleet's key could make another one open connections; one test relied on orders that time out no sooner than a loaded machine needs for its next steps. Change: a probe of a host that does not lead, as far as is known, is dropped; in the test the orders are on their way until the term has ended. Ruled out: a signature on probes, since links are authenticated already.

--- a/internal/connection/inquiry/probe.go
+++ b/internal/connection/inquiry/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -22,10 +23,17 @@
 	}
 }
 
-// answerProbe answers a probe in the background. While one is being answered,
-// others are dropped: the leader repeats them.
+// leads reports whether a host leads, as far as is known.
+func (c *Client) leads(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.leaders, func(member leader.Member) bool { return member.Host == host })
+}
+
+// answerProbe answers a leader's probe in the background. While one is being
+// answered, others are dropped: the leader repeats them.
 func (c *Client) answerProbe(ctx context.Context, host string, probe *message.Probe) {
-	if !c.probing.CompareAndSwap(false, true) {
+	if !c.leads(host) || !c.probing.CompareAndSwap(false, true) {
 		return
 	}
 	answer := &probeAnswer{
--- a/internal/connection/inquiry/probe_test.go
+++ b/internal/connection/inquiry/probe_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mustardreach.example/mustardreach/internal/connection/message"
 	"mustardreach.example/mustardreach/internal/process/leader"
 )
 
@@ -44,3 +45,18 @@
 		Reached:    0b101,
 	}, answered)
 }
+
+// Only a leader may make a host open connections.
+func TestProbeOfAnotherHostIsIgnored(t *testing.T) {
+	leading := newTestHost(t, "recife-1", leader.HostReport{})
+	other := newTestHost(t, "olinda-1", leader.HostReport{})
+	other.client.SetLeader(0, leading.self)
+	probe := &message.Probe{
+		Number:  7,
+		Workers: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
+	}
+	other.client.answerProbe(t.Context(), "jaboatao-1", probe)
+	other.client.answerProbe(t.Context(), "recife-1", probe)
+	require.Eventually(t, func() bool { return other.tried.Load() > 0 && !other.client.probing.Load() }, waitTimeout, time.Millisecond)
+	assert.EqualValues(t, 1, other.tried.Load(), "only the leader's probe is answered")
+}
--- a/internal/connection/inquiry/report_test.go
+++ b/internal/connection/inquiry/report_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	client *Client
 	self   leader.Member
 	report leader.HostReport
+	// tried counts the attempts to reach a worker.
+	tried atomic.Int64
 
 	mu      sync.Mutex
 	reports map[string][]leader.HostReport
@@ -90,7 +93,10 @@
 		},
 		Report:   func() leader.HostReport { return host.report },
 		Reported: host.reported,
-		Reach:    func(_ context.Context, worker netip.AddrPort) bool { return worker.Port() == reachablePort },
+		Reach: func(_ context.Context, worker netip.AddrPort) bool {
+			host.tried.Add(1)
+			return worker.Port() == reachablePort
+		},
 	})
 	go host.client.Run(t.Context())
 	return host
--- a/internal/process/leader/handover_test.go
+++ b/internal/process/leader/handover_test.go
@@ -23,8 +23,9 @@
 	const tasks = maxCalls + 8
 	s := newSite(t)
 	config := s.leaderConfig("recife-1")
-	config.Calls.Start = func(ctx context.Context, _ Target, _ Lease, _ schedule.Start) (schedule.Verdict, time.Duration) {
-		<-ctx.Done() // the order is on its way until the term ends
+	resigned := make(chan struct{})
+	config.Calls.Start = func(context.Context, Target, Lease, schedule.Start) (schedule.Verdict, time.Duration) {
+		<-resigned // the order is on its way until the term ends
 		return schedule.Unknown, 0
 	}
 	first := s.startConfigured(t.Context(), config, shard.Solo()).leaders[0]
@@ -46,9 +47,10 @@
 		})
 		return <-count
 	}
-	require.Eventually(t, func() bool { return waiting() == tasks-maxCalls }, callTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return waiting() == tasks-maxCalls }, waitTimeout, time.Millisecond)
 	s.leave("w1")
 	resignForLag(t, first)
+	close(resigned)
 	var record handoverRecord
 	require.Eventually(t, func() bool {
 		item, err := s.store.Client().Get(t.Context(), soloKeys.Handover)
--- a/internal/process/leader/lagwatch_test.go
+++ b/internal/process/leader/lagwatch_test.go
@@ -113,6 +113,7 @@
 				return
 			}
 			require.Eventually(t, second.leaders[0].leading.Load, waitTimeout, time.Millisecond)
+			t.Logf("another host leads after %v", time.Since(slowAt))
 			assert.Less(t, time.Since(slowAt), maxDetection)
 			s.submit("a")
 			s.waitCompleted(second.leaders[0], "a")
