--- a/internal/connection/inquiry/inquiry.go
+++ b/internal/connection/inquiry/inquiry.go
@@ -1,6 +1,8 @@
 // Package inquiry sends questions about jobs from each host to the leader of a
 // shard, and the answers back, over the links between hosts. Only a leader and a
-// host that asks it are linked, with one link in each direction.
+// host that asks it are linked, with one link in each direction. Each question
+// carries a report of the host that asks; without questions, one report a second
+// is sent.
 package inquiry
 
 import (
@@ -8,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -34,6 +37,11 @@
 	// Answer answers a question, with the zero Answer if this host is not the
 	// leader. It calls reply once.
 	Answer func(question leader.Question, reply func(answer leader.Answer))
+	// Report returns this host's report; Reported is called with those of others.
+	Report   func() leader.HostReport
+	Reported func(host string, report leader.HostReport)
+	// Reach tries to reach a worker.
+	Reach func(ctx context.Context, worker netip.AddrPort) bool
 }
 
 // Client asks the leader questions, and answers those of other hosts while this
@@ -48,6 +56,11 @@
 	number uint64
 	// pending are the questions that wait for an answer, by number.
 	pending map[uint64]chan leader.Answer
+	// asked holds the hosts that were sent a question since the last round of
+	// reports.
+	asked map[string]bool
+	// probing is set while this host answers a probe.
+	probing atomic.Bool
 }
 
 // New returns a Client; Run must be called for it to exchange messages with
@@ -57,6 +70,7 @@
 		config:  config,
 		leaders: make([]leader.Member, config.Shards),
 		pending: map[uint64]chan leader.Answer{},
+		asked:   map[string]bool{},
 	}
 }
 
@@ -83,6 +97,7 @@
 	number := c.number
 	result := make(chan leader.Answer, 1)
 	c.pending[number] = result
+	c.asked[target.Host] = true
 	c.mu.Unlock()
 	defer c.removePending(number)
 	switch target.Host {
@@ -96,6 +111,7 @@
 			Job:    question.Job,
 			Queue:  question.Queue,
 			Shard:  question.Shard,
+			Report: c.report(),
 		})
 		if err != nil {
 			return leader.Answer{}
@@ -119,19 +135,24 @@
 	delete(c.pending, number)
 }
 
-// Run handles messages from other hosts until the context ends.
+// Run handles messages from other hosts and reports to the leaders until the
+// context ends.
 func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-c.config.Inbox:
-			c.handle(event)
+			c.handle(ctx, event)
+		case <-ticker.C:
+			c.reportToLeaders()
 		}
 	}
 }
 
-func (c *Client) handle(event peer.Event) {
+func (c *Client) handle(ctx context.Context, event peer.Event) {
 	if event.Up {
 		c.greet(event.From.Host)
 		return
@@ -143,6 +164,9 @@
 			klog.ErrorS(err, "question cannot be read", "host", event.From.Host)
 			return
 		}
+		if question.Probe != nil {
+			c.answerProbe(ctx, event.From.Host, question.Probe)
+		}
 		c.answer(event.From.Host, event.From.Peers, question)
 	case message.KindAnswer:
 		answer, err := message.Open[message.Answer](event.Envelope)
@@ -157,14 +181,25 @@
 // greet sends a question that asks nothing over a new link, so that the leader
 // links back before the first question, whose answer would otherwise be lost.
 func (c *Client) greet(host string) {
-	if err := c.config.Hub.Send(host, message.KindQuestion, message.Question{}); err != nil {
+	if err := c.config.Hub.Send(host, message.KindQuestion, message.Question{
+		Report: c.report(),
+	}); err != nil {
 		klog.InfoS("leader not greeted", "host", host, "err", err)
 	}
 }
 
-// answer links back to the host that asks, and sends it the answer.
+// answer links back to the host that asks, notes its report and sends it the
+// answer.
 func (c *Client) answer(host string, address netip.AddrPort, question message.Question) {
 	c.config.Hub.Ensure(address)
+	if report := question.Report; report != nil {
+		c.config.Reported(host, leader.HostReport{
+			MilliCores: report.MilliCores,
+			Lag:        report.Lag,
+			Probe:      report.Probe,
+			Reached:    report.Reached,
+		})
+	}
 	if question.Job == "" && question.Queue == "" {
 		return
 	}
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -93,6 +93,15 @@
 	// AcquireDelay delays an attempt to acquire the leadership, so that the hosts
 	// with the most processor time try first.
 	AcquireDelay time.Duration
+	// MilliCores is the processor time that this host may use, in thousandths of a
+	// core.
+	MilliCores int64
+	// Reach tries to reach a worker without an order; SendProbe asks another host
+	// which workers it reaches. Without Reach, lost links are no cause to resign.
+	Reach     func(ctx context.Context, worker netip.AddrPort) bool
+	SendProbe func(host string, probe Probe)
+	// reports holds the reports of other hosts; the Group sets it.
+	reports *hostReports
 	// Clock is monotonic and includes time during which the machine is
 	// suspended; TimeOfDay is wall-clock time, which may jump.
 	Clock     func() time.Time
