Order of waiting jobs moves into a package of its own

Cause: the order is to learn lateness, size classes and entry zones; its rules were spread over schedule/rank.go and estimates.go, beside the state that they read. Change: internal/process/rank has the candidate, its comparison and the value of a job; schedule builds the candidates. OrganisationShare, which is zero without organisations, is compared after the kind of job. Candidates are sorted by pointer, since they grow. Measured: tests of schedule pass unchanged but for the name of OverdueAfter.

--- /dev/null
+++ b/internal/process/rank/candidate.go
@@ -0,0 +1,57 @@
+// Package rank orders waiting jobs. Load pattern: more work arrives than the
+// workers can run, so that the order decides which callers get their results in
+// time. It keeps no claim and knows no worker: the scheduler builds the
+// candidates and places their tasks in the order returned here.
+package rank
+
+import "cmp"
+
+// Candidate is what decides a job's place in the order.
+type Candidate struct {
+	// ID breaks ties, so that the same inputs give the same order.
+	ID string
+	// Overdue jobs have a long-running task that has been down for too long:
+	// its users are not served meanwhile, and placing it takes little of the
+	// time of a decision.
+	Overdue bool
+	// Priority is the queue's; 0 goes first.
+	Priority int
+	// LongRunning jobs hold their capacity for long and gain little value by
+	// it: quick jobs of the same priority go first.
+	LongRunning bool
+	// OrganisationShare is how much of its share the job's organisation uses;
+	// lower goes first within a priority. It is zero without organisations.
+	OrganisationShare float64
+	// Late jobs have missed their objective and have little value left.
+	Late bool
+	// Density is the job's value per unit of remaining work: under overload,
+	// small jobs and those nearly done go first.
+	Density float64
+}
+
+// Compare orders candidates field by field: the lower one goes first.
+func Compare(a, c *Candidate) int {
+	switch {
+	case a.Overdue != c.Overdue:
+		return trueFirst(a.Overdue)
+	case a.Priority != c.Priority:
+		return cmp.Compare(a.Priority, c.Priority)
+	case a.LongRunning != c.LongRunning:
+		return -trueFirst(a.LongRunning)
+	case a.OrganisationShare != c.OrganisationShare:
+		return cmp.Compare(a.OrganisationShare, c.OrganisationShare)
+	case a.Late != c.Late:
+		return -trueFirst(a.Late)
+	case a.Density != c.Density:
+		return cmp.Compare(c.Density, a.Density)
+	}
+	return cmp.Compare(a.ID, c.ID)
+}
+
+// trueFirst is the order of two booleans that differ, given the first.
+func trueFirst(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/process/rank/candidate_test.go
@@ -0,0 +1,86 @@
+package rank
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// The fields of a candidate decide in a fixed order. A field that decides too
+// early lets jobs of a lower priority, or those that have missed their
+// objective, go before the others.
+func TestOrderOfFields(t *testing.T) {
+	tests := map[string]struct {
+		first, second Candidate
+	}{
+		"overdue before priority": {
+			first: Candidate{
+				Overdue:     true,
+				LongRunning: true,
+				Priority:    2,
+			},
+			second: Candidate{
+				Density: 1,
+			},
+		},
+		"priority before kind": {
+			first: Candidate{
+				LongRunning: true,
+			},
+			second: Candidate{
+				Priority: 1,
+				Density:  1,
+			},
+		},
+		"kind before organisation": {
+			first: Candidate{
+				OrganisationShare: 2,
+			},
+			second: Candidate{
+				LongRunning: true,
+			},
+		},
+		"organisation before lateness": {
+			first: Candidate{
+				OrganisationShare: 0.5,
+				Late:              true,
+			},
+			second: Candidate{
+				OrganisationShare: 1,
+			},
+		},
+		"lateness before density": {
+			first: Candidate{},
+			second: Candidate{
+				Late:    true,
+				Density: 1,
+			},
+		},
+		"density before id": {
+			first: Candidate{
+				ID:      "b",
+				Density: 1,
+			},
+			second: Candidate{
+				ID: "a",
+			},
+		},
+		"id last": {
+			first: Candidate{
+				ID: "a",
+			},
+			second: Candidate{
+				ID: "b",
+			},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := []*Candidate{&tt.second, &tt.first}
+			slices.SortFunc(got, Compare)
+			assert.Equal(t, []*Candidate{&tt.first, &tt.second}, got)
+			assert.Zero(t, Compare(&tt.first, &tt.first))
+		})
+	}
+}
--- /dev/null
+++ b/internal/process/rank/value.go
@@ -0,0 +1,28 @@
+package rank
+
+import "time"
+
+// A job's value is baseValue plus a part in proportion to its work relative to
+// the mean of its queue, up to maxValue. It follows the value that users give
+// to a job.
+const (
+	baseValue = 0.3
+	maxValue  = 4.0
+)
+
+// Density is a job's value per unit of remaining work, given its total work and
+// the mean work of its queue's jobs.
+func Density(total, mean, remaining float64) float64 {
+	value := min(maxValue, baseValue+(1-baseValue)*total/mean)
+	return value / max(1, remaining)
+}
+
+// OverdueAfter is how long a long-running task may be down before it goes
+// first: a third of the time after which its users consider it lost.
+const OverdueAfter = 2 * time.Second
+
+// Late reports whether a job can no longer meet its objective, given the time
+// until then and its remaining critical path.
+func Late(untilObjective, remaining time.Duration) bool {
+	return untilObjective < remaining
+}
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/process/rank"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -475,7 +476,7 @@
 			first: "quick",
 		},
 		"down for long": {
-			waited: overdueAfter + time.Millisecond,
+			waited: rank.OverdueAfter + time.Millisecond,
 			first:  "watcher",
 		},
 	}
--- a/internal/process/schedule/estimates.go
+++ b/internal/process/schedule/estimates.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mustardreach.example/mustardreach/internal/process/rank"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -77,14 +78,6 @@
 	return longest
 }
 
-// A job's value is baseValue plus a part in proportion to its work relative to
-// the mean of its queue, up to maxValue. It follows the value that users give
-// to a job.
-const (
-	baseValue = 0.3
-	maxValue  = 4.0
-)
-
 // totalWork is all work of the job, in millicore-seconds.
 func (b *Board) totalWork(j *job) float64 {
 	total := 0.0
@@ -104,9 +97,7 @@
 			left += each * float64(step.left)
 		}
 	}
-	mean := b.estimates.meanWork(j.work.Queue, total)
-	value := min(maxValue, baseValue+(1-baseValue)*total/mean)
-	return value / max(1, left)
+	return rank.Density(total, b.estimates.meanWork(j.work.Queue, total), left)
 }
 
 // meanWork returns the running mean of the work of a queue's jobs, or the given
--- a/internal/process/schedule/moves.go
+++ b/internal/process/schedule/moves.go
@@ -85,16 +85,7 @@
 // then start them without waiting for workers of this one. The jobs picked are
 // not started here until Stay is called.
 func (b *Board) Moves(own int, loads map[string]map[int]shard.Load, now time.Time) []Move {
-	var candidates []candidate
-	for _, j := range b.open {
-		if j.movable(now) {
-			candidates = append(candidates, candidate{
-				job:  j,
-				rank: b.rankOf(j, now),
-			})
-		}
-	}
-	slices.SortFunc(candidates, compareRanks)
+	candidates := b.ranked(func(j *job) bool { return j.movable(now) }, now)
 	budgets := map[budgetKey]map[int]int64{}
 	var out []Move
 	for _, next := range candidates {
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -11,16 +11,9 @@
 
 // place goes through the waiting jobs by rank and starts the tasks that fit.
 func (b *Board) place(now time.Time) {
-	candidates := make([]candidate, 0, len(b.open))
-	for _, j := range b.open {
-		if j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated) {
-			candidates = append(candidates, candidate{
-				job:  j,
-				rank: b.rankOf(j, now),
-			})
-		}
-	}
-	slices.SortFunc(candidates, compareRanks)
+	candidates := b.ranked(func(j *job) bool {
+		return j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated)
+	}, now)
 	shortages := map[string]*shortage{}
 	pools := map[poolKey][]*workerState{}
 	for _, next := range candidates {
@@ -29,7 +22,7 @@
 		}
 		key := poolKey{
 			service:     b.serviceOf(next.job),
-			longRunning: next.rank.longRunning,
+			longRunning: next.rank.LongRunning,
 		}
 		if _, ok := pools[key]; !ok {
 			pools[key] = b.pool(key, now)
