Jobs without a value left go last, late ones get a small share

Cause: jobs that can no longer finish within three times their objective stayed among the late ones, where small ones went before larger ones that could still finish; and a late job waited for as long as jobs on time kept arriving. Change: where a service lacks capacity, hopeless jobs go last, and 4 percent of the started work goes to the late job that becomes hopeless first. The remaining critical path uses learned run times. A job whose age exceeds the bound of ages counts as just late for two objectives, since the wall clock may have jumped. Without a shortage the order is unchanged. Ruled out: a share of 5 percent, since whole jobs start in a turn and it took 5.1 percent.

--- a/internal/process/rank/candidate.go
+++ b/internal/process/rank/candidate.go
@@ -4,12 +4,17 @@
 // candidates and places their tasks in the order returned here.
 package rank
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // Candidate is what decides a job's place in the order.
 type Candidate struct {
-	// ID breaks ties, so that the same inputs give the same order.
-	ID string
+	// ID breaks ties, so that the same inputs give the same order. Index is for
+	// the caller's use.
+	ID    string
+	Index int
 	// Overdue jobs have a long-running task that has been down for too long:
 	// its users are not served meanwhile, and placing it takes little of the
 	// time of a decision.
@@ -22,11 +27,19 @@
 	// OrganisationShare is how much of its share the job's organisation uses;
 	// lower goes first within a priority. It is zero without organisations.
 	OrganisationShare float64
-	// Late jobs have missed their objective and have little value left.
-	Late bool
+	// Class says whether the job can still meet its objective, and Chance how
+	// long it may still wait before it is hopeless.
+	Class  Class
+	Chance time.Duration
+	// turn is set for the late job that goes before those on time.
+	turn bool
 	// Density is the job's value per unit of remaining work: under overload,
 	// small jobs and those nearly done go first.
 	Density float64
+	// Service names the workers that the job competes for. Short is set while
+	// they lack capacity.
+	Service string
+	Short   bool
 }
 
 // Compare orders candidates field by field: the lower one goes first.
@@ -38,10 +51,14 @@
 		return cmp.Compare(a.Priority, c.Priority)
 	case a.LongRunning != c.LongRunning:
 		return -trueFirst(a.LongRunning)
+	case (a.Class == Hopeless) != (c.Class == Hopeless):
+		return -trueFirst(a.Class == Hopeless)
 	case a.OrganisationShare != c.OrganisationShare:
 		return cmp.Compare(a.OrganisationShare, c.OrganisationShare)
-	case a.Late != c.Late:
-		return -trueFirst(a.Late)
+	case a.turn != c.turn:
+		return trueFirst(a.turn)
+	case a.Class != c.Class:
+		return cmp.Compare(a.Class, c.Class)
 	case a.Density != c.Density:
 		return cmp.Compare(c.Density, a.Density)
 	}
--- a/internal/process/rank/candidate_test.go
+++ b/internal/process/rank/candidate_test.go
@@ -44,16 +44,34 @@
 		"organisation before lateness": {
 			first: Candidate{
 				OrganisationShare: 0.5,
-				Late:              true,
+				Class:             Late,
 			},
 			second: Candidate{
 				OrganisationShare: 1,
 			},
 		},
+		"hopeless after all organisations": {
+			first: Candidate{
+				OrganisationShare: 1,
+			},
+			second: Candidate{
+				OrganisationShare: 0.5,
+				Class:             Hopeless,
+			},
+		},
+		"late job whose turn it is": {
+			first: Candidate{
+				Class: Late,
+				turn:  true,
+			},
+			second: Candidate{
+				Density: 1,
+			},
+		},
 		"lateness before density": {
 			first: Candidate{},
 			second: Candidate{
-				Late:    true,
+				Class:   Late,
 				Density: 1,
 			},
 		},
--- a/internal/process/rank/value.go
+++ b/internal/process/rank/value.go
@@ -20,9 +20,3 @@
 // OverdueAfter is how long a long-running task may be down before it goes
 // first: a third of the time after which its users consider it lost.
 const OverdueAfter = 2 * time.Second
-
-// Late reports whether a job can no longer meet its objective, given the time
-// until then and its remaining critical path.
-func Late(untilObjective, remaining time.Duration) bool {
-	return untilObjective < remaining
-}
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -14,6 +14,7 @@
 	"math"
 	"time"
 
+	"mustardreach.example/mustardreach/internal/process/rank"
 	"mustardreach.example/mustardreach/internal/request/work"
 	"mustardreach.example/mustardreach/internal/version/catalog"
 )
@@ -75,8 +76,12 @@
 	// reservationsLeft is how many more reservations this decision may make.
 	reservationsLeft int
 	estimates        *estimates
-	interference     *interference
-	effects          Effects
+	// order ranks the waiting jobs, and shortAt is when each service last lacked
+	// capacity for a waiting task.
+	order        *rank.Order
+	shortAt      map[string]time.Time
+	interference *interference
+	effects      Effects
 	// unrecordedStarts are starts of long-running tasks whose placements are not
 	// in the store yet.
 	unrecordedStarts []unrecordedStart
@@ -100,6 +105,8 @@
 		evacuated:    map[string]bool{},
 		reservations: map[work.TaskKey]reservation{},
 		estimates:    newEstimates(),
+		order:        rank.NewOrder(rank.AllRules()),
+		shortAt:      map[string]time.Time{},
 		interference: newInterference(),
 		unsaved:      map[string]*job{},
 		lost:         map[string]*lostWorker{},
--- a/internal/process/schedule/estimates.go
+++ b/internal/process/schedule/estimates.go
@@ -78,12 +78,17 @@
 	return longest
 }
 
+// taskWork is the work of one task of a step, in millicore-seconds.
+func (b *Board) taskWork(j *job, step *work.Step) float64 {
+	return b.estimates.runTime(j.work.Queue, step).Seconds() * float64(max(1, step.Size.MilliCores))
+}
+
 // totalWork is all work of the job, in millicore-seconds.
 func (b *Board) totalWork(j *job) float64 {
 	total := 0.0
 	for s := range j.work.Steps {
 		step := &j.work.Steps[s]
-		total += b.estimates.runTime(j.work.Queue, step).Seconds() * float64(max(1, step.Size.MilliCores)) * float64(step.Count)
+		total += b.taskWork(j, step) * float64(step.Count)
 	}
 	return total * float64(j.work.Occurrences())
 }
@@ -93,8 +98,7 @@
 	total, left := b.totalWork(j), 0.0
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
-			each := b.estimates.runTime(j.work.Queue, step.spec).Seconds() * float64(max(1, step.spec.Size.MilliCores))
-			left += each * float64(step.left)
+			left += b.taskWork(j, step.spec) * float64(step.left)
 		}
 	}
 	return rank.Density(total, b.estimates.meanWork(j.work.Queue, total), left)
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"mustardreach.example/mustardreach/internal/process/rank"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -100,11 +101,15 @@
 	claims    int
 	idleSince time.Time
 
-	// remaining is the critical path and density the value per remaining work.
-	// stale is set when a step has progressed since they were computed.
+	// rank is the job's place in the order of waiting jobs and remaining its
+	// critical path. stale is set when a step has progressed since they were
+	// computed.
+	rank      rank.Candidate
 	remaining time.Duration
-	density   float64
 	stale     bool
+	// ageBounded is set if the job seemed older than the bound of ages when it
+	// was added.
+	ageBounded bool
 	// priority is the queue's priority; 0 goes first.
 	priority int
 
@@ -125,9 +130,14 @@
 	const maxAge = time.Minute // limits the effect of a jump of the wall clock
 	age := min(max(0, timeOfDay.Sub(spec.Accepted)), maxAge)
 	j := &job{
-		work:    spec,
-		arrived: now.Add(-age),
-		seen:    now,
+		work:       spec,
+		arrived:    now.Add(-age),
+		seen:       now,
+		ageBounded: age == maxAge,
+		rank: rank.Candidate{
+			ID:          spec.ID,
+			LongRunning: spec.LongRunning(),
+		},
 	}
 	if inherited {
 		j.inherited, j.fromEarlierTerm = b.token, true
@@ -135,6 +145,7 @@
 	if queue, ok := b.catalog.Queues[spec.Queue]; ok {
 		j.attempts, j.priority = queue.MaxAttempts, queue.Priority
 	}
+	j.rank.Priority = j.priority
 	j.stale = true
 	j.idleSince = now
 	j.build(now, timeOfDay)
--- a/internal/process/schedule/moves.go
+++ b/internal/process/schedule/moves.go
@@ -88,32 +88,32 @@
 	candidates := b.ranked(func(j *job) bool { return j.movable(now) }, now)
 	budgets := map[budgetKey]map[int]int64{}
 	var out []Move
-	for _, next := range candidates {
+	for _, j := range candidates {
 		if len(out) == maxMoves {
 			break
 		}
-		firm, fillers := next.job.waitingCores(now)
+		firm, fillers := j.waitingCores(now)
 		if firm+fillers == 0 {
 			continue
 		}
 		key := budgetKey{
-			service: b.serviceOf(next.job),
+			service: b.serviceOf(j),
 			filler:  fillers > firm,
 		}
 		if _, ok := budgets[key]; !ok {
 			budgets[key] = shard.Budgets(loads[key.service], own, key.filler)
 		}
-		next.job.balanced = true
-		target, ok := chooseShard(next.job, budgets[key], firm+fillers, loads[key.service], own)
+		j.balanced = true
+		target, ok := chooseShard(j, budgets[key], firm+fillers, loads[key.service], own)
 		if !ok {
 			continue
 		}
 		if budgets[key] != nil {
 			budgets[key][target] -= firm + fillers
 		}
-		next.job.departing = true
+		j.departing = true
 		out = append(out, Move{
-			Job:        next.job.work,
+			Job:        j.work,
 			To:         target,
 			MilliCores: firm + fillers,
 		})
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -16,13 +16,13 @@
 	}, now)
 	shortages := map[string]*shortage{}
 	pools := map[poolKey][]*workerState{}
-	for _, next := range candidates {
+	for _, j := range candidates {
 		if b.startsLeft <= 0 {
-			return
+			break
 		}
 		key := poolKey{
-			service:     b.serviceOf(next.job),
-			longRunning: next.rank.LongRunning,
+			service:     j.rank.Service,
+			longRunning: j.rank.LongRunning,
 		}
 		if _, ok := pools[key]; !ok {
 			pools[key] = b.pool(key, now)
@@ -31,7 +31,12 @@
 			shortages[key.service] = newShortage()
 		}
 		if len(pools[key]) > 0 {
-			b.placeJob(next.job, pools[key], shortages[key.service], now)
+			b.placeJob(j, pools[key], shortages[key.service], now)
+		}
+	}
+	for service, found := range shortages {
+		if found.lacking {
+			b.shortAt[service] = now
 		}
 	}
 }
@@ -102,10 +107,13 @@
 		w := b.chooseWorker(step, t, pool)
 		switch {
 		case w != nil:
+			b.order.Started(&j.rank, b.taskWork(j, step.spec), now)
 			b.start(w, j, step, t, b.nextRun(), now)
 		case urgent:
+			shortages.lacking = true
 			b.reserve(j, step, t, pool, now)
 		default:
+			shortages.lacking = true
 			shortages.record(step.spec, t)
 			return
 		}
--- a/internal/process/schedule/rank.go
+++ b/internal/process/schedule/rank.go
@@ -1,54 +1,54 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/process/rank"
 )
 
-// candidate is a job with its rank.
-type candidate struct {
-	job  *job
-	rank rank.Candidate
-}
-
-func compareRanks(a, c *candidate) int {
-	return rank.Compare(&a.rank, &c.rank)
-}
-
 // ranked returns the jobs that qualify, in order.
-func (b *Board) ranked(qualifies func(j *job) bool, now time.Time) []*candidate {
-	all := make([]candidate, 0, len(b.open))
-	out := make([]*candidate, 0, len(b.open))
+func (b *Board) ranked(qualifies func(j *job) bool, now time.Time) []*job {
+	jobs := make([]*job, 0, len(b.open))
+	ranks := make([]*rank.Candidate, 0, len(b.open))
 	for _, j := range b.open {
 		if qualifies(j) {
-			all = append(all, candidate{
-				job:  j,
-				rank: b.rankOf(j, now),
-			})
-			out = append(out, &all[len(all)-1])
+			b.updateRank(j, now)
+			j.rank.Index = len(jobs)
+			jobs = append(jobs, j)
+			ranks = append(ranks, &j.rank)
 		}
 	}
-	slices.SortFunc(out, compareRanks)
+	b.order.Sort(ranks)
+	out := make([]*job, len(jobs))
+	for i, next := range ranks {
+		out[i] = jobs[next.Index]
+	}
 	return out
 }
 
-func (b *Board) rankOf(j *job, now time.Time) rank.Candidate {
+// updateRank brings the job's rank up to date.
+func (b *Board) updateRank(j *job, now time.Time) {
 	if j.stale {
-		j.remaining, j.density, j.stale = b.criticalPath(j), b.density(j), false
+		j.remaining, j.rank.Density, j.stale = b.criticalPath(j), b.density(j), false
+	}
+	j.rank.Service = b.serviceOf(j)
+	j.rank.Short = now.Sub(b.shortAt[j.rank.Service]) < shortageTerm
+	if j.rank.LongRunning {
+		j.rank.Overdue = j.overdue(now)
+		return
 	}
-	longRunning := j.work.LongRunning()
-	return rank.Candidate{
-		ID:          j.work.ID,
-		Overdue:     longRunning && j.overdue(now),
-		Priority:    j.priority,
-		LongRunning: longRunning,
-		Late:        !longRunning && rank.Late(j.objective.Sub(now), j.remaining),
-		Density:     j.density,
+	j.rank.Class, j.rank.Chance = rank.Lateness(now.Sub(j.arrived), j.objective.Sub(j.arrived), j.remaining)
+	if j.rank.Class == rank.Hopeless && j.ageBounded {
+		// The age may be that of a wall clock that has jumped.
+		sinceObjective := now.Sub(j.seen)
+		j.rank.Class, j.rank.Chance = rank.Lateness(sinceObjective+j.objective.Sub(j.arrived), j.objective.Sub(j.arrived), j.remaining)
 	}
 }
 
+// shortageTerm is how long a service lacks capacity after a task did not fit: a
+// few decisions of a slow leader, and the longest time between two reports.
+const shortageTerm = time.Second
+
 // overdue reports whether a long-running task of the job has been down for too
 // long.
 func (j *job) overdue(now time.Time) bool {
--- a/internal/process/schedule/shortage.go
+++ b/internal/process/schedule/shortage.go
@@ -13,6 +13,8 @@
 	// fillers is, by image, the least number of millicores requested by a
 	// filler that did not fit.
 	fillers map[string]int64
+	// lacking is set once a task did not fit.
+	lacking bool
 }
 
 func newShortage() *shortage {
