Merge the order of waiting jobs up to lateness

Cause: part 3 of docs/design/contention.md; jobs without a value left took capacity from those with one.

--- a/internal/process/schedule/rank.go
+++ b/internal/process/schedule/rank.go
@@ -1,83 +1,54 @@
 package schedule
 
 import (
-	"cmp"
 	"time"
-)
-
-// candidate is a job with its rank.
-type candidate struct {
-	job  *job
-	rank rank
-}
 
-// rank orders jobs: lower goes first, field by field.
-type rank struct {
-	// overdue jobs have a long-running task that has been down for too long:
-	// its users are not served meanwhile, and placing it takes little of the
-	// time of a decision.
-	overdue bool
-	// priority is the queue's.
-	priority int
-	// longRunning jobs hold their capacity for long and gain little value by
-	// it: quick jobs of the same priority go first.
-	longRunning bool
-	// organisationShare is how much of its fair share the job's organisation
-	// uses, zero without organisations.
-	organisationShare float64
-	// late jobs have missed their objective and have little value left.
-	late bool
-	// density is the job's value per unit of remaining work: under overload,
-	// small jobs and those nearly done go first.
-	density float64
-}
+	"mustardreach.example/mustardreach/internal/process/rank"
+)
 
-func compareRanks(a, c candidate) int {
-	switch {
-	case a.rank.overdue != c.rank.overdue:
-		if a.rank.overdue {
-			return -1
+// ranked returns the jobs that qualify, in order.
+func (b *Board) ranked(qualifies func(j *job) bool, now time.Time) []*job {
+	jobs := make([]*job, 0, len(b.open))
+	ranks := make([]*rank.Candidate, 0, len(b.open))
+	for _, j := range b.open {
+		if qualifies(j) {
+			b.updateRank(j, now)
+			j.rank.Index = len(jobs)
+			jobs = append(jobs, j)
+			ranks = append(ranks, &j.rank)
 		}
-		return 1
-	case a.rank.priority != c.rank.priority:
-		return cmp.Compare(a.rank.priority, c.rank.priority)
-	case a.rank.longRunning != c.rank.longRunning:
-		if a.rank.longRunning {
-			return 1
-		}
-		return -1
-	case a.rank.organisationShare != c.rank.organisationShare:
-		return cmp.Compare(a.rank.organisationShare, c.rank.organisationShare)
-	case a.rank.late != c.rank.late:
-		if a.rank.late {
-			return 1
-		}
-		return -1
-	case a.rank.density != c.rank.density:
-		return cmp.Compare(c.rank.density, a.rank.density)
 	}
-	return cmp.Compare(a.job.work.ID, c.job.work.ID)
+	b.order.Sort(ranks)
+	out := make([]*job, len(jobs))
+	for i, next := range ranks {
+		out[i] = jobs[next.Index]
+	}
+	return out
 }
 
-func (b *Board) rankOf(j *job, now time.Time) rank {
+// updateRank brings the job's rank up to date.
+func (b *Board) updateRank(j *job, now time.Time) {
 	if j.stale {
-		j.remaining, j.density, j.stale = b.criticalPath(j), b.density(j), false
+		j.remaining, j.rank.Density, j.stale = b.criticalPath(j), b.density(j), false
+	}
+	j.rank.OrganisationShare = b.quotas.Order(j.account, now)
+	j.rank.Service = b.serviceOf(j)
+	j.rank.Short = now.Sub(b.shortAt[j.rank.Service]) < shortageTerm
+	if j.rank.LongRunning {
+		j.rank.Overdue = j.overdue(now)
+		return
 	}
-	slack := j.objective.Sub(now) - j.remaining
-	longRunning := j.work.LongRunning()
-	return rank{
-		overdue:           longRunning && j.overdue(now),
-		priority:          j.priority,
-		longRunning:       longRunning,
-		organisationShare: b.quotas.Order(j.account, now),
-		late:              slack < 0 && !longRunning,
-		density:           j.density,
+	j.rank.Class, j.rank.Chance = rank.Lateness(now.Sub(j.arrived), j.objective.Sub(j.arrived), j.remaining)
+	if j.rank.Class == rank.Hopeless && j.ageBounded {
+		// The age may be that of a wall clock that has jumped.
+		sinceObjective := now.Sub(j.seen)
+		j.rank.Class, j.rank.Chance = rank.Lateness(sinceObjective+j.objective.Sub(j.arrived), j.objective.Sub(j.arrived), j.remaining)
 	}
 }
 
-// overdueAfter is how long a long-running task may be down before it goes
-// first: a third of the time after which its users consider it lost.
-const overdueAfter = 2 * time.Second
+// shortageTerm is how long a service lacks capacity after a task did not fit: a
+// few decisions of a slow leader, and the longest time between two reports.
+const shortageTerm = time.Second
 
 // overdue reports whether a long-running task of the job has been down for too
 // long.
@@ -89,7 +60,7 @@
 				if absentSince.Before(j.arrived) {
 					absentSince = j.arrived
 				}
-				if t.phase == waiting && now.Sub(absentSince) > overdueAfter {
+				if t.phase == waiting && now.Sub(absentSince) > rank.OverdueAfter {
 					return true
 				}
 			}
