Long-running tasks are preempted for quick tasks that fit nowhere

Cause: quick jobs of the highest priority preempt only lower priorities. Change: package reserve decides whether the gain of a quick step exceeds the loss of the long-running steps, and picks the runs. A step keeps its limit of unavailable members over the notice period (bounds.notice_ms); without the period, or with a limit of zero, none is preempted. At most 2 percent of the long-running tasks are stopped per second, and a task once in 21 s. A task gets its capacity back when it is overdue. Capacity that was freed passes to the next task of the same quick step. Long-running tasks of a lower priority were preempted without regard to their limits; they now follow the same rules.

--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -27,6 +27,7 @@
 func (t *term) execute(effects schedule.Effects, now time.Time) {
 	t.requestTickets(effects.TicketRequests)
 	t.logCrashes(effects.Crashes)
+	t.logPreemptions(effects.Preemptions)
 	for i := range effects.Stops {
 		t.order(&call{
 			stop: &effects.Stops[i],
--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -17,10 +17,11 @@
 	t.summarisedAt = now
 	summary := t.leader.board.Summary(now)
 	unsettled := t.leader.board.Unsettled(now)
+	t.countUrgent(summary.Urgent)
 	klog.InfoS("schedule", "shard", t.leader.config.Shard, "token", t.token, "open", summary.Open, "waiting", summary.Waiting,
 		"delayed", summary.Delayed, "unsettled", len(unsettled), "running", summary.Running,
 		"fillers", summary.Fillers, "serving", summary.Serving, "workers", summary.Workers, "capacity", summary.Capacity,
-		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare,
+		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare, "preempted_down", summary.Down,
 		"events", len(t.leader.events), "orders", len(t.waiting))
 	if summary.Delayed == 0 {
 		return
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -50,6 +50,7 @@
 	learned         learnedState
 	writer          writer
 	summarisedAt    time.Time
+	urgentCounts    schedule.UrgentCounts
 	waking          bool
 	moves           moves
 	removed         removedJobs
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -34,6 +34,9 @@
 	MaxOverTarget time.Duration
 	// KeepEnded is how long ended jobs are kept in memory.
 	KeepEnded time.Duration
+	// Notice is how long a long-running task that was down still counts as
+	// unavailable; zero if unknown, then none is preempted for a quick task.
+	Notice time.Duration
 	// HoldsLongRunning delays the start of a long-running job until a round of
 	// moves has left it in this shard.
 	HoldsLongRunning bool
@@ -74,6 +77,7 @@
 	reservations map[work.TaskKey]reservation
 	// reservationsLeft is how many more reservations this decision may make.
 	reservationsLeft int
+	urgentCapacity   *urgentCapacity
 	estimates        *estimates
 	interference     *interference
 	effects          Effects
@@ -91,19 +95,20 @@
 // NewBoard returns an empty board.
 func NewBoard(config Config) *Board {
 	return &Board{
-		config:       config,
-		catalog:      &catalog.Catalog{},
-		jobs:         map[string]*job{},
-		open:         map[string]*job{},
-		workers:      map[string]*workerState{},
-		cancelled:    map[string]bool{},
-		evacuated:    map[string]bool{},
-		reservations: map[work.TaskKey]reservation{},
-		estimates:    newEstimates(),
-		interference: newInterference(),
-		unsaved:      map[string]*job{},
-		lost:         map[string]*lostWorker{},
-		startsLeft:   math.MaxInt,
+		config:         config,
+		catalog:        &catalog.Catalog{},
+		jobs:           map[string]*job{},
+		open:           map[string]*job{},
+		workers:        map[string]*workerState{},
+		cancelled:      map[string]bool{},
+		evacuated:      map[string]bool{},
+		reservations:   map[work.TaskKey]reservation{},
+		urgentCapacity: newUrgentCapacity(),
+		estimates:      newEstimates(),
+		interference:   newInterference(),
+		unsaved:        map[string]*job{},
+		lost:           map[string]*lostWorker{},
+		startsLeft:     math.MaxInt,
 	}
 }
 
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -10,7 +10,7 @@
 // find a place. Serving tasks are spread out instead, and fillers go where most
 // cores are unused. It returns nil if no worker fits.
 func (b *Board) chooseWorker(step *stepState, t *task, pool []*workerState) *workerState {
-	if held, ok := b.reservations[t.key]; ok {
+	if held, ok := b.reservations[t.key]; ok && !step.spec.LongRunning {
 		w := b.workers[held.worker]
 		if w != nil && slices.Contains(pool, w) && held.size.FitsIn(w.Capacity.Sub(w.used)) && b.eligible(w, step, t) {
 			return w
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -28,6 +28,8 @@
 	// a stop grace later has ended or will not begin, unless a copy of the
 	// start arrives after a later restart of the worker.
 	barred time.Time
+	// piece is set if capacity was reserved for the run's task.
+	piece bool
 	// orphaned runs belong to no task any more and are being stopped.
 	orphaned bool
 	// retries counts the starts that got no answer.
@@ -83,6 +85,7 @@
 		held.suspicion = len(t.crashes)
 		b.markChanged(j) // the record charges the run in advance
 	}
+	_, held.piece = b.reservations[t.key]
 	w.addClaim(t.key, held)
 	b.unreserve(t.key)
 	if t.phase == waiting {
--- a/internal/process/schedule/ends.go
+++ b/internal/process/schedule/ends.go
@@ -30,6 +30,7 @@
 	case EndedDone:
 		if !step.spec.LongRunning {
 			b.taskDone(j, occ, step, t, now)
+			b.passOn(w, j, held, step, now)
 		}
 	case EndedFailed:
 		b.taskFailed(j, w, step, t, end.Run, now)
--- /dev/null
+++ b/internal/process/schedule/giveback.go
@@ -0,0 +1,105 @@
+package schedule
+
+import "time"
+
+// returnAfter is how long after its end a preempted task gets its capacity back:
+// once it is overdue. With half of that, each preemption serves fewer quick tasks,
+// while the members that are unavailable are as many.
+const returnAfter = overdueAfter
+
+// returnCapacity keeps capacity for preempted tasks that have been down for
+// long enough. Load pattern: quick tasks keep arriving and take each part of the
+// capacity that comes free, so that a larger task never finds all of it free at
+// once.
+func (b *Board) returnCapacity(now time.Time) {
+	for key, id := range b.urgentCapacity.preempted {
+		j, w := b.open[key.Job], b.workers[id]
+		if j == nil || w == nil {
+			delete(b.urgentCapacity.preempted, key)
+			continue
+		}
+		_, step, t := j.find(key)
+		switch {
+		case t.phase == claimed && t.endedAt.Before(t.preemptedAt):
+			// A stop without an answer may still take effect.
+			if held := w.claims[key]; now.Sub(t.preemptedAt) > reservationTerm && t.worker == id && held != nil && held.stopping.IsZero() && held.barred.IsZero() {
+				delete(b.urgentCapacity.preempted, key)
+			}
+		case t.phase != waiting:
+			delete(b.urgentCapacity.preempted, key)
+		case now.Sub(t.endedAt) >= returnAfter && b.usable(w, now):
+			if _, ok := b.reservations[key]; !ok {
+				b.keep(key, w, reservedSize(step.spec), now)
+			}
+		}
+	}
+}
+
+// placeReturning starts the tasks of a long-running step whose capacity is being
+// returned and free.
+func (b *Board) placeReturning(j *job, step *stepState, now time.Time) {
+	if !step.spec.LongRunning || step.spec.Gang || len(b.urgentCapacity.preempted) == 0 {
+		return
+	}
+	for _, t := range step.tasks {
+		if b.startsLeft <= 0 {
+			return
+		}
+		held, ok := b.reservations[t.key]
+		if !ok || t.phase != waiting || now.Before(t.notBefore) || !b.mayStartTask(j, t, now) {
+			continue
+		}
+		w := b.workers[held.worker]
+		if w != nil && b.usable(w, now) && held.size.FitsIn(w.Capacity.Sub(w.used)) && b.eligible(w, step, t) {
+			b.start(w, j, step, t, b.nextRun(), now)
+		}
+	}
+}
+
+// crowding returns, by zone, by how much the zone's share of the preempted tasks
+// exceeds its share of the workers.
+func (b *Board) crowding() map[string]float64 {
+	out := map[string]float64{}
+	for _, id := range b.urgentCapacity.preempted {
+		if w := b.workers[id]; w != nil {
+			out[w.Zone] += 1 / float64(len(b.urgentCapacity.preempted))
+		}
+	}
+	zones := map[string]int{}
+	for _, w := range b.workers {
+		zones[w.Zone]++
+	}
+	for zone, share := range out {
+		out[zone] = max(0, share-float64(zones[zone])/float64(len(b.workers)))
+	}
+	return out
+}
+
+// learnRestart learns how long long-running tasks take to full progress. A run
+// that was taken over has no known start.
+func (b *Board) learnRestart(held *claim, now time.Time) {
+	took := now.Sub(held.started)
+	if took <= 0 {
+		return
+	}
+	state := b.urgentCapacity
+	if state.restart == 0 {
+		state.restart = took
+	}
+	state.restart += time.Duration(learnRate * float64(took-state.restart))
+}
+
+// passOn keeps the capacity of a task that is done for another one of its step, if
+// it had been reserved for that task. Load pattern: smaller tasks take a part of
+// the capacity, and the next large one needs another preemption.
+func (b *Board) passOn(w *workerState, j *job, done *claim, step *stepState, now time.Time) {
+	if done == nil || !done.piece || step.waiting == 0 || !b.urgent(j) || b.config.Notice <= 0 {
+		return
+	}
+	for _, t := range step.tasks {
+		if _, ok := b.reservations[t.key]; !ok && t.phase == waiting {
+			b.keep(t.key, w, done.size, now)
+			return
+		}
+	}
+}
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"mustardreach.example/mustardreach/internal/process/reserve"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -158,6 +159,9 @@
 	}
 	if row.Percent != held.progress {
 		held.progress, held.lastProgress = row.Percent, now
+		if held.longRunning && row.Percent == reserve.FullProgress {
+			b.learnRestart(held, now)
+		}
 	}
 	if held.filler {
 		held.inUse = row.MilliCores
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -40,6 +40,8 @@
 	notBefore time.Time
 	// endedAt is when the last run ended.
 	endedAt time.Time
+	// preemptedAt is when it was last preempted for a quick task.
+	preemptedAt time.Time
 	// located is set if no workers but lastWorkers can have a run of the task or
 	// an end that is not saved, so that it need not wait until all workers have
 	// reported to a new leader. The newest is last; there is none if the task was
--- a/internal/process/schedule/orders.go
+++ b/internal/process/schedule/orders.go
@@ -55,6 +55,9 @@
 	Throttles      []Throttle
 	TicketRequests []TicketRequest
 	Crashes        []Crash
+	// Preemptions lists the long-running runs among Stops that are stopped for a
+	// quick task.
+	Preemptions []Preemption
 }
 
 // Verdict is a worker's answer to an order.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -96,6 +96,7 @@
 
 func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, shortages *shortage, now time.Time) {
 	urgent := b.urgent(j) && !step.spec.Filler
+	b.placeReturning(j, step, now)
 	if !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID) {
 		return
 	}
--- a/internal/process/schedule/preempt.go
+++ b/internal/process/schedule/preempt.go
@@ -35,6 +35,10 @@
 	if _, ok := b.reservations[t.key]; ok {
 		return
 	}
+	if b.urgentCapacity.noneLower(step.spec, now) {
+		b.preemptLongRunning(j, step, t, now)
+		return
+	}
 	if b.reservationsLeft == 0 {
 		return
 	}
@@ -52,21 +56,29 @@
 		}
 	}
 	if best == nil {
+		b.urgentCapacity.lower.record(step.spec, t)
+		b.preemptLongRunning(j, step, t, now)
 		return
 	}
-	b.reservations[t.key] = reservation{
-		worker: best.ID,
-		size:   reservedSize(step.spec),
-		until:  now.Add(reservationTerm),
-	}
-	best.reserved = best.reserved.Add(reservedSize(step.spec))
+	b.keep(t.key, best, reservedSize(step.spec), now)
 	for _, key := range victims {
 		b.stop(best.ID, key, best.claims[key].run, "gives_way")
 	}
 }
 
+// keep reserves capacity of a worker for a task.
+func (b *Board) keep(key work.TaskKey, w *workerState, size worker.Size, now time.Time) {
+	b.reservations[key] = reservation{
+		worker: w.ID,
+		size:   size,
+		until:  now.Add(reservationTerm),
+	}
+	w.reserved = w.reserved.Add(size)
+}
+
 // victims picks the cheapest runs of a lower priority that free enough
-// capacity.
+// capacity. Long-running runs are left to preemptLongRunning, which respects the
+// limits of their steps.
 func (b *Board) victims(w *workerState, priority int, need worker.Size, now time.Time) ([]work.TaskKey, float64, bool) {
 	type victim struct {
 		key  work.TaskKey
@@ -80,7 +92,7 @@
 		switch {
 		case !held.stopping.IsZero() || j == nil:
 			free = free.Add(held.size) // already ending
-		case held.filler || !held.confirmed || j.priority <= priority:
+		case held.filler || held.longRunning || !held.confirmed || j.priority <= priority:
 		default:
 			all = append(all, victim{
 				key:  key,
@@ -117,7 +129,7 @@
 // dropReservations removes the reservations that have expired or whose task no
 // longer waits.
 func (b *Board) dropReservations(now time.Time) {
-	b.reservationsLeft = reservationsPerDecision
+	b.reservationsLeft, b.urgentCapacity.searchesLeft = reservationsPerDecision, searchesPerDecision
 	for key, held := range b.reservations {
 		j := b.open[key.Job]
 		waits := false
@@ -130,6 +142,7 @@
 		}
 		b.unreserve(key)
 	}
+	b.returnCapacity(now)
 }
 
 func (b *Board) unreserve(key work.TaskKey) {
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -19,12 +19,19 @@
 	Throttled int
 	// MemoryShare is the claimed part of the memory.
 	MemoryShare float64
+	// Urgent counts decisions about capacity for quick tasks in this term.
+	Urgent UrgentCounts
+	// Down is the number of preempted long-running tasks that have not started
+	// again.
+	Down int
 }
 
 // Summary returns the current counts of the board.
 func (b *Board) Summary(now time.Time) Summary {
 	out := Summary{
-		Open: len(b.open),
+		Open:   len(b.open),
+		Urgent: b.urgentCapacity.counts,
+		Down:   len(b.urgentCapacity.preempted),
 	}
 	for _, j := range b.open {
 		for _, occ := range j.occurrences {
