Long-running tasks leave pieces for quick ones, sized by learned demand

Cause: serving tasks are spread over all workers and break up the capacity that quick tasks need; placements hardly ever change afterwards. Preemptions used up the limits of the steps for small quick jobs, and returned the capacity early. Change: reserve.Demand learns arrivals, sizes and run times of quick tasks of the highest priority by service. While it needs pieces and fewer than 16 times as many are free, a long-running task goes where it takes the fewest pieces. Without such tasks, placement is as before. Searches reuse their memory.

--- a/internal/process/reserve/choose.go
+++ b/internal/process/reserve/choose.go
@@ -23,7 +23,15 @@
 	// Crowding is by how much the zone's share of the preempted tasks that are
 	// still down exceeds its share of the workers. It spreads preemptions.
 	Crowding float64
-	Runs     []Run
+	// Runs are in the order of SortRuns.
+	Runs []Run
+}
+
+// SortRuns orders runs by loss, then by size.
+func SortRuns(runs []Run) {
+	slices.SortStableFunc(runs, func(a, c Run) int {
+		return cmp.Or(cmp.Compare(a.Loss, c.Loss), cmp.Compare(a.Size.MilliCores, c.Size.MilliCores))
+	})
 }
 
 // Choice is a set of runs to preempt on one place.
@@ -36,6 +44,7 @@
 // Choose returns the cheapest runs on the place that free the needed size. It
 // returns false if there are none, or if their loss is not below the gain.
 // pieces is how many tasks of the size wait, each of them worth the given value.
+// The choice refers to the place's runs.
 func (p Place) Choose(need worker.Size, pieces int, each float64) (Choice, bool) {
 	runs := p.cheapest(need)
 	if len(runs) == 0 {
@@ -54,20 +63,16 @@
 
 // cheapest returns a single run that suffices, if there is one, or else several.
 func (p Place) cheapest(need worker.Size) []Run {
-	runs := slices.Clone(p.Runs)
-	slices.SortStableFunc(runs, func(a, c Run) int {
-		return cmp.Or(cmp.Compare(a.Loss, c.Loss), cmp.Compare(a.Size.MilliCores, c.Size.MilliCores))
-	})
-	for i, run := range runs {
+	for i, run := range p.Runs {
 		if need.FitsIn(p.Free.Add(run.Size)) {
-			return runs[i : i+1]
+			return p.Runs[i : i+1]
 		}
 	}
 	freed := p.Free
-	for i := range slices.Backward(runs) { // the larger ones: fewer suffice
-		freed = freed.Add(runs[i].Size)
+	for i := range slices.Backward(p.Runs) { // the larger ones: fewer suffice
+		freed = freed.Add(p.Runs[i].Size)
 		if need.FitsIn(freed) {
-			return runs[i:]
+			return p.Runs[i:]
 		}
 	}
 	return nil
--- a/internal/process/schedule/bench_test.go
+++ b/internal/process/schedule/bench_test.go
@@ -93,3 +93,33 @@
 		poll(board, "w00", testStart)
 	}
 }
+
+// BenchmarkDecideContended times a decision of the leader of 350 workers that
+// long-running tasks fill, while quick tasks wait for capacity.
+func BenchmarkDecideContended(b *testing.B) {
+	for name, notice := range map[string]time.Duration{
+		"with preemptions":    replayNotice,
+		"without preemptions": 0,
+	} {
+		b.Run(name, func(b *testing.B) {
+			r := newReplay(b, 350, 1)
+			r.board.config.Notice = notice
+			r.run(2*time.Second, 14.3)
+			r.addLongRunning(0.97, 2)
+			r.run(10*time.Second, 14.3)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				b.StopTimer()
+				if i%4 == 0 {
+					r.addQuick()
+				}
+				r.deliver()
+				b.StartTimer()
+				effects := r.board.Decide(r.now, true)
+				b.StopTimer()
+				r.carryOut(effects)
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -3,12 +3,15 @@
 import (
 	"slices"
 	"time"
+
+	"mustardreach.example/mustardreach/internal/process/reserve"
 )
 
 // chooseWorker picks the worker for a task: near its data first, then the
 // worker with the least free capacity (best fit), so that large tasks still
-// find a place. Serving tasks are spread out instead, and fillers go where most
-// cores are unused. It returns nil if no worker fits.
+// find a place. Serving tasks are spread out instead, unless quick tasks need the
+// pieces that this would break up, and fillers go where most cores are unused. It
+// returns nil if no worker fits.
 func (b *Board) chooseWorker(step *stepState, t *task, pool []*workerState) *workerState {
 	if held, ok := b.reservations[t.key]; ok && !step.spec.LongRunning {
 		w := b.workers[held.worker]
@@ -19,11 +22,15 @@
 	}
 	var best *workerState
 	var bestScore float64
+	piece := int64(0)
+	if step.spec.LongRunning && len(pool) > 0 {
+		piece = b.pieceOf(pool[0].Service)
+	}
 	for _, w := range pool {
 		if !b.fits(w, step, t) {
 			continue
 		}
-		score := b.score(w, step, t)
+		score := b.score(w, step, t, piece)
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -85,7 +92,7 @@
 	maxInterferenceCost = 0.6
 )
 
-func (b *Board) score(w *workerState, step *stepState, t *task) float64 {
+func (b *Board) score(w *workerState, step *stepState, t *task, piece int64) float64 {
 	spec, score := step.spec, 0.0
 	if t.avoid == w.ID {
 		score -= weightAvoid
@@ -105,6 +112,9 @@
 		return score + freeShare
 	case spec.Filler:
 		return score + ratio(w.idle, w.Capacity.MilliCores) - weightInterference*b.interferenceCost(w, spec.Image, spec.Size.MilliCores)
+	case spec.LongRunning && piece > 0:
+		lost := reserve.PiecesLost(free.MilliCores, spec.Size.MilliCores, piece)
+		return score - weightPieces*float64(lost) - freeShare
 	case spec.TailTarget > 0:
 		return score + freeShare + weightAffinity*b.imageAffinity(w, spec.Image)
 	}
--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// returnAfter is how long after its end a preempted task gets its capacity back:
-// once it is overdue. With half of that, each preemption serves fewer quick tasks,
-// while the members that are unavailable are as many.
-const returnAfter = overdueAfter
+// returnAfter is how long after its end a preempted task gets its capacity back.
+// Quick tasks that run there then take less than the 6 s after which a task must
+// not wait beside free capacity. With half of it, each preemption serves fewer
+// quick tasks, while about as many members are unavailable.
+const returnAfter = 2 * overdueAfter
 
 // returnCapacity keeps capacity for preempted tasks that have been down for
 // long enough. Load pattern: quick tasks keep arriving and take each part of the
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -151,6 +151,7 @@
 		return
 	}
 	b.open[spec.ID] = j
+	b.observeArrival(j, now)
 	if b.cancelled[spec.ID] {
 		b.Cancel(spec.ID, now)
 	}
--- /dev/null
+++ b/internal/process/schedule/packing.go
@@ -0,0 +1,72 @@
+package schedule
+
+import (
+	"time"
+
+	"mustardreach.example/mustardreach/internal/process/reserve"
+)
+
+// packing is how long-running tasks are placed on a service's workers.
+type packing struct {
+	demand reserve.Demand
+	// piece is the size of the pieces to keep, in millicores; zero if none need
+	// to be kept.
+	piece int64
+	// computedAt is when piece was computed.
+	computedAt time.Time
+}
+
+// sparePieces times the demand is the number of free pieces from which placements
+// need not keep any. Placements are hardly ever changed, so pieces must be kept
+// long before they are short; with 4 the replay needs more preemptions.
+const sparePieces = 16
+
+// weightPieces weighs a lost piece of capacity against affinity and free capacity,
+// which together count for less.
+const weightPieces = 5.0
+
+// observeArrival learns the demand of a quick job.
+func (b *Board) observeArrival(j *job, now time.Time) {
+	if !b.urgent(j) || j.fromEarlierTerm {
+		return
+	}
+	service := b.serviceOf(j)
+	state := b.urgentCapacity.packing[service]
+	if state == nil {
+		state = &packing{}
+		b.urgentCapacity.packing[service] = state
+	}
+	for s := range j.work.Steps {
+		if step := &j.work.Steps[s]; !step.Filler {
+			state.demand.Arrived(step.Size.MilliCores, step.Count, b.estimates.runTime(j.work.Queue, step), now)
+		}
+	}
+}
+
+// pieceOf returns the size of the pieces that placements on a service's workers
+// should leave. It is zero if there is no demand for them, or if there are enough.
+func (b *Board) pieceOf(service string) int64 {
+	state := b.urgentCapacity.packing[service]
+	if state == nil {
+		return 0
+	}
+	if b.now.Sub(state.computedAt) < scanInterval {
+		return state.piece
+	}
+	state.computedAt = b.now
+	piece, count := state.demand.Needed(b.now)
+	state.piece = 0
+	if count == 0 {
+		return 0
+	}
+	available := int64(0)
+	for _, w := range b.workers {
+		if w.Service == service && b.usable(w, b.now) {
+			available += max(0, w.free().MilliCores) / piece
+		}
+	}
+	if available < int64(count)*sparePieces {
+		state.piece = piece
+	}
+	return state.piece
+}
--- a/internal/process/schedule/preemptible.go
+++ b/internal/process/schedule/preemptible.go
@@ -9,18 +9,23 @@
 )
 
 // stillPreemptible returns the runs of a place that still exist and whose steps
-// still allow a preemption, at most as many of a step as it allows.
+// still allow a preemption, at most as many of a step as it allows. They are valid
+// until the next call.
 func (b *Board) stillPreemptible(place preemptiblePlace) []reserve.Run {
-	var runs []reserve.Run
-	taken := map[stepKey]int{}
+	runs := b.urgentCapacity.scratch[:0]
 	for _, run := range place.runs {
 		held, step := place.worker.claims[run.Key], stepOf(run.Key)
-		if held == nil || !held.stopping.IsZero() || taken[step] >= b.urgentCapacity.allowed[step] {
-			continue
+		taken := 0
+		for _, earlier := range runs {
+			if stepOf(earlier.Key) == step {
+				taken++
+			}
+		}
+		if held != nil && held.stopping.IsZero() && taken < b.urgentCapacity.allowed[step] {
+			runs = append(runs, run)
 		}
-		taken[step]++
-		runs = append(runs, run)
 	}
+	b.urgentCapacity.scratch = runs
 	return runs
 }
 
@@ -32,7 +37,7 @@
 	state.places = state.places[:0]
 	clear(state.allowed)
 	clear(state.worthless)
-	down := b.config.StopGrace + overdueAfter + state.restart
+	down := b.config.StopGrace + returnAfter + state.restart
 	for _, w := range b.workers {
 		var runs []reserve.Run
 		for key, held := range w.claims {
@@ -58,6 +63,7 @@
 			continue
 		}
 		slices.SortFunc(runs, func(a, c reserve.Run) int { return compareKeys(a.Key, c.Key) })
+		reserve.SortRuns(runs)
 		state.places = append(state.places, preemptiblePlace{
 			worker: w,
 			runs:   runs,
--- a/internal/process/schedule/urgent.go
+++ b/internal/process/schedule/urgent.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
@@ -28,7 +29,9 @@
 	// allowed is how many more members of each step may be preempted.
 	places    []preemptiblePlace
 	scannedAt time.Time
-	allowed   map[stepKey]int
+	// scratch is reused by stillPreemptible.
+	scratch []reserve.Run
+	allowed map[stepKey]int
 	// longRunning is the number of long-running runs at the last scan.
 	longRunning int
 	// failed holds the sizes for which no long-running run could be preempted since
@@ -46,6 +49,8 @@
 	// progress.
 	restart time.Duration
 	counts  UrgentCounts
+	// packing is by service.
+	packing map[string]*packing
 }
 
 // UrgentCounts counts the decisions about capacity for quick tasks in this term.
@@ -69,6 +74,7 @@
 		lower:     newShortage(),
 		preempted: map[work.TaskKey]string{},
 		worthless: map[stepKey]bool{},
+		packing:   map[string]*packing{},
 	}
 }
 
@@ -107,6 +113,7 @@
 		b.keep(t.key, w, reservedSize(step.spec), now)
 		return
 	}
+	state.limiter.Refill(state.longRunning, now)
 	best, choice, found := b.cheapestPlace(j, step, t, pieces, each, now)
 	switch {
 	case best == nil && found:
@@ -117,7 +124,7 @@
 		state.counts.NoVictim++
 		state.failed.record(step.spec, t)
 		return
-	case !state.limiter.Allow(len(choice.Runs), state.longRunning, now):
+	case !state.limiter.Allow(len(choice.Runs)):
 		state.counts.Limited++
 		return
 	}
@@ -146,10 +153,11 @@
 			Free:     w.free(),
 			Crowding: crowding[w.Zone],
 			Runs:     runs,
-		}.Choose(need, pieces, each)
+		}.Choose(need, pieces, each/b.urgentCapacity.limiter.Price())
 		found = found || len(next.Runs) > 0
 		if gains && (best == nil || next.Better(choice)) {
 			best, choice = w, next
+			choice.Runs = slices.Clone(next.Runs)
 		}
 	}
 	return best, choice, found
@@ -192,7 +200,7 @@
 		Objective: j.objective.Sub(j.arrived),
 		Remaining: j.remaining,
 		RunTime:   b.estimates.runTime(j.work.Queue, step.spec),
-		Hold:      overdueAfter,
+		Hold:      returnAfter,
 		Left:      step.left,
 		Pieces:    pieces,
 	}
