--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -28,6 +28,7 @@
 	t.requestTickets(effects.TicketRequests)
 	t.logCrashes(effects.Crashes)
 	t.logPreemptions(effects.Preemptions)
+	t.logPackingChanges(effects.PackingChanges)
 	for i := range effects.Stops {
 		t.order(&call{
 			stop: &effects.Stops[i],
--- a/internal/process/leader/preemptions.go
+++ b/internal/process/leader/preemptions.go
@@ -30,3 +30,13 @@
 	}
 	t.urgentCounts = counts
 }
+
+// logPackingChanges writes a line when placements of long-running tasks begin or
+// cease to leave pieces for quick tasks, at most ten a second and service.
+func (t *term) logPackingChanges(changes []schedule.PackingChange) {
+	for _, change := range changes {
+		t.leader.config.Counts.Add("packing_changed", 1)
+		klog.InfoS("packing of long-running tasks changed", "service", change.Service, "piece", change.MilliCores,
+			"needed", change.Needed, "available", change.Available)
+	}
+}
--- a/internal/process/schedule/orders.go
+++ b/internal/process/schedule/orders.go
@@ -57,7 +57,8 @@
 	Crashes        []Crash
 	// Preemptions lists the long-running runs among Stops that are stopped for a
 	// quick task.
-	Preemptions []Preemption
+	Preemptions    []Preemption
+	PackingChanges []PackingChange
 }
 
 // Verdict is a worker's answer to an order.
--- a/internal/process/schedule/packing.go
+++ b/internal/process/schedule/packing.go
@@ -16,6 +16,16 @@
 	computedAt time.Time
 }
 
+// PackingChange says that placements of long-running tasks begin or cease to leave
+// pieces for quick tasks.
+type PackingChange struct {
+	Service string
+	// MilliCores is the size of a piece; zero if none is kept from now on.
+	MilliCores int64
+	// Needed and Available are numbers of pieces.
+	Needed, Available int
+}
+
 // sparePieces times the demand is the number of free pieces from which placements
 // need not keep any. Placements are hardly ever changed, so pieces must be kept
 // long before they are short; with 4 the replay needs more preemptions.
@@ -55,18 +65,24 @@
 	}
 	state.computedAt = b.now
 	piece, count := state.demand.Needed(b.now)
-	state.piece = 0
-	if count == 0 {
-		return 0
-	}
-	available := int64(0)
+	available := 0
 	for _, w := range b.workers {
-		if w.Service == service && b.usable(w, b.now) {
-			available += max(0, w.free().MilliCores) / piece
+		if count > 0 && w.Service == service && b.usable(w, b.now) {
+			available += int(max(0, w.free().MilliCores) / piece)
 		}
 	}
-	if available < int64(count)*sparePieces {
+	before := state.piece
+	state.piece = 0
+	if available < count*sparePieces {
 		state.piece = piece
 	}
+	if (before > 0) != (state.piece > 0) {
+		b.effects.PackingChanges = append(b.effects.PackingChanges, PackingChange{
+			Service:    service,
+			MilliCores: state.piece,
+			Needed:     count,
+			Available:  available,
+		})
+	}
 	return state.piece
 }
--- a/internal/process/schedule/preempt.go
+++ b/internal/process/schedule/preempt.go
@@ -35,7 +35,7 @@
 	if _, ok := b.reservations[t.key]; ok {
 		return
 	}
-	if b.urgentCapacity.noneLower(step.spec, now) {
+	if b.urgentCapacity.noneLower(b.serviceOf(j), step.spec, now) {
 		b.preemptLongRunning(j, step, t, now)
 		return
 	}
@@ -56,7 +56,7 @@
 		}
 	}
 	if best == nil {
-		b.urgentCapacity.lower.record(step.spec, t)
+		recordFailure(b.urgentCapacity.lower, b.serviceOf(j), step.spec, t)
 		b.preemptLongRunning(j, step, t, now)
 		return
 	}
--- a/internal/process/schedule/preemptible.go
+++ b/internal/process/schedule/preemptible.go
@@ -33,8 +33,9 @@
 // priority. It goes through all runs, at most once per scanInterval.
 func (b *Board) scanLongRunning(priority int, now time.Time) {
 	state := b.urgentCapacity
-	state.scannedAt, state.failed, state.longRunning = now, newShortage(), 0
+	state.scannedAt, state.longRunning = now, 0
 	state.places = state.places[:0]
+	clear(state.failed)
 	clear(state.allowed)
 	clear(state.worthless)
 	down := b.config.StopGrace + returnAfter + state.restart
--- a/internal/process/schedule/urgent.go
+++ b/internal/process/schedule/urgent.go
@@ -36,8 +36,9 @@
 	longRunning int
 	// failed holds the sizes for which no long-running run could be preempted since
 	// the last scan, lower those for which no run of a lower priority could since
-	// lowerSince. searchesLeft is how many searches are left to this decision.
-	failed, lower *shortage
+	// lowerSince, both by service. searchesLeft is how many searches are left to
+	// this decision.
+	failed, lower map[string]*shortage
 	lowerSince    time.Time
 	searchesLeft  int
 	// worthless holds the steps whose gain was too low since the last scan.
@@ -70,8 +71,8 @@
 func newUrgentCapacity() *urgentCapacity {
 	return &urgentCapacity{
 		allowed:   map[stepKey]int{},
-		failed:    newShortage(),
-		lower:     newShortage(),
+		failed:    map[string]*shortage{},
+		lower:     map[string]*shortage{},
 		preempted: map[work.TaskKey]string{},
 		worthless: map[stepKey]bool{},
 		packing:   map[string]*packing{},
@@ -84,11 +85,21 @@
 
 // noneLower reports whether a recent search has shown that no run of a lower
 // priority can be preempted for a task of the step.
-func (u *urgentCapacity) noneLower(spec *work.Step, now time.Time) bool {
+func (u *urgentCapacity) noneLower(service string, spec *work.Step, now time.Time) bool {
 	if now.Sub(u.lowerSince) >= scanInterval {
-		u.lower, u.lowerSince = newShortage(), now
+		clear(u.lower)
+		u.lowerSince = now
 	}
-	return u.lower.rulesOut(spec)
+	found := u.lower[service]
+	return found != nil && found.rulesOut(spec)
+}
+
+// recordFailure adds a task for which nothing can be preempted.
+func recordFailure(failures map[string]*shortage, service string, spec *work.Step, t *task) {
+	if failures[service] == nil {
+		failures[service] = newShortage()
+	}
+	failures[service].record(spec, t)
 }
 
 // preemptLongRunning stops the cheapest long-running runs for a quick task that
@@ -101,7 +112,8 @@
 	if now.Sub(state.scannedAt) >= scanInterval {
 		b.scanLongRunning(j.priority, now)
 	}
-	if state.failed.rulesOut(step.spec) || state.worthless[stepOf(t.key)] {
+	failed := state.failed[b.serviceOf(j)]
+	if failed != nil && failed.rulesOut(step.spec) || state.worthless[stepOf(t.key)] {
 		return
 	}
 	pieces, each := b.quickStep(j, step, now).Gain()
@@ -122,7 +134,7 @@
 		return
 	case best == nil:
 		state.counts.NoVictim++
-		state.failed.record(step.spec, t)
+		recordFailure(state.failed, b.serviceOf(j), step.spec, t)
 		return
 	case !state.limiter.Allow(len(choice.Runs)):
 		state.counts.Limited++
@@ -214,7 +226,7 @@
 	b.urgentCapacity.allowed[stepOf(key)]--
 	b.urgentCapacity.preempted[key] = w.ID
 	b.urgentCapacity.counts.Preempted++
-	b.stop(w.ID, key, held.run, "makes_room")
+	b.stop(w.ID, key, held.run, "preempted_for_quick")
 	b.effects.Preemptions = append(b.effects.Preemptions, Preemption{
 		Worker: w.ID,
 		Key:    key,
--- a/internal/process/schedule/urgent_replay_test.go
+++ b/internal/process/schedule/urgent_replay_test.go
@@ -110,11 +110,11 @@
 	r.newLeader(2 * testToken)
 	r.unanswered = false
 	assert.Empty(t, r.board.reservations, "capacity reserved by the predecessor is free")
-	before := r.stops["makes_room"]
+	before := r.stops["preempted_for_quick"]
 	r.run(replayNotice, 1)
-	assert.Equal(t, before, r.stops["makes_room"], "the successor does not know what was down within the notice period")
+	assert.Equal(t, before, r.stops["preempted_for_quick"], "the successor does not know what was down within the notice period")
 	r.run(20*time.Second, 1)
-	assert.Greater(t, r.stops["makes_room"], before, "it preempts once it does")
+	assert.Greater(t, r.stops["preempted_for_quick"], before, "it preempts once it does")
 	assert.Zero(t, r.overMissed)
 	assert.Zero(t, r.idleWaits)
 }
