--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -17,11 +17,12 @@
 	t.summarisedAt = now
 	summary := t.leader.board.Summary(now)
 	unsettled := t.leader.board.Unsettled(now)
+	t.countUrgent(summary.Urgent)
 	klog.InfoS("schedule", "shard", t.leader.config.Shard, "token", t.token, "open", summary.Open, "waiting", summary.Waiting,
 		"delayed", summary.Delayed, "unsettled", len(unsettled), "running", summary.Running,
 		"fillers", summary.Fillers, "serving", summary.Serving, "workers", summary.Workers, "capacity", summary.Capacity,
 		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare,
-		"events", len(t.leader.events), "orders", len(t.waiting), "late", t.leader.lag.judge.delay)
+		"preempted_down", summary.Down, "events", len(t.leader.events), "orders", len(t.waiting), "late", t.leader.lag.judge.delay)
 	t.summariseOrganisations(now)
 	if summary.Delayed == 0 {
 		return
--- a/internal/process/rank/value.go
+++ b/internal/process/rank/value.go
@@ -10,11 +10,15 @@
 	maxValue  = 4.0
 )
 
-// Density is a job's value per unit of remaining work, given its total work and
-// the mean work of its queue's jobs.
+// Value is a job's value, given its total work and the mean work of its queue's
+// jobs.
+func Value(total, mean float64) float64 {
+	return min(maxValue, baseValue+(1-baseValue)*total/mean)
+}
+
+// Density is a job's value per unit of remaining work.
 func Density(total, mean, remaining float64) float64 {
-	value := min(maxValue, baseValue+(1-baseValue)*total/mean)
-	return value / max(1, remaining)
+	return Value(total, mean) / max(1, remaining)
 }
 
 // OverdueAfter is how long a long-running task may be down before it goes
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -36,6 +36,9 @@
 	MaxOverTarget time.Duration
 	// KeepEnded is how long ended jobs are kept in memory.
 	KeepEnded time.Duration
+	// Notice is how long a long-running task that was down still counts as
+	// unavailable; zero if unknown, then none is preempted for a quick task.
+	Notice time.Duration
 	// HoldsLongRunning delays the start of a long-running job until a round of
 	// moves has left it in this shard.
 	HoldsLongRunning bool
@@ -79,6 +82,7 @@
 	reservations map[work.TaskKey]reservation
 	// reservationsLeft is how many more reservations this decision may make.
 	reservationsLeft int
+	urgentCapacity   *urgentCapacity
 	estimates        *estimates
 	// order ranks the waiting jobs, and shortAt is when each service last lacked
 	// capacity for a waiting task.
@@ -105,22 +109,23 @@
 // NewBoard returns an empty board.
 func NewBoard(config Config) *Board {
 	return &Board{
-		config:       config,
-		catalog:      &catalog.Catalog{},
-		jobs:         map[string]*job{},
-		open:         map[string]*job{},
-		workers:      map[string]*workerState{},
-		cancelled:    map[string]bool{},
-		evacuated:    map[string]bool{},
-		reservations: map[work.TaskKey]reservation{},
-		estimates:    newEstimates(),
-		order:        rank.NewOrder(rank.AllRules()),
-		shortAt:      map[string]time.Time{},
-		interference: newInterference(),
-		unsaved:      map[string]*job{},
-		lost:         map[string]*lostWorker{},
-		quotas:       quota.NewBook(config.Shards),
-		startsLeft:   math.MaxInt,
+		config:         config,
+		catalog:        &catalog.Catalog{},
+		jobs:           map[string]*job{},
+		open:           map[string]*job{},
+		workers:        map[string]*workerState{},
+		cancelled:      map[string]bool{},
+		evacuated:      map[string]bool{},
+		reservations:   map[work.TaskKey]reservation{},
+		urgentCapacity: newUrgentCapacity(),
+		estimates:      newEstimates(),
+		order:          rank.NewOrder(rank.AllRules()),
+		shortAt:        map[string]time.Time{},
+		interference:   newInterference(),
+		unsaved:        map[string]*job{},
+		lost:           map[string]*lostWorker{},
+		quotas:         quota.NewBook(config.Shards),
+		startsLeft:     math.MaxInt,
 	}
 }
 
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -97,10 +97,15 @@
 		return
 	}
 	urgent := b.urgent(j) && !step.spec.Filler
-	if !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID) {
+	b.placeReturning(j, step, now)
+	ruledOut := !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID)
+	if ruledOut && !step.spec.LongRunning {
 		return
 	}
 	for _, t := range step.tasks {
+		if ruledOut && !b.longDown(step, t, now) {
+			continue
+		}
 		if b.startsLeft <= 0 || !j.account.Admits(step.spec.Size) {
 			return
 		}
