Quotas: parts of limits that move between shards

Cause: with equal parts, one shard can use only 1/n of a limit, whatever the others leave unused; and after a reduced limit, a shard below its part could start tasks while another one was above its own. Change: one record of the store holds the part of each shard in absolute amounts. Only a shard's own leader lowers its part, at once and before the commit; a raise needs room below the limit and the newest configuration version. Shards publish what they want under the lease of their lead key, and those with spare give it, on the condition that the record is unchanged. A new leader, and one whose commit got no answer, first shows by a commit that its record is the newest. Nothing of an organisation starts while the sum of its parts exceeds the limit or the record is of an earlier version. A fleet with one shard, and one without organisations, does not read the record. Ruled out: parts as fractions of the limit, since a reduced limit would lower the parts of shards that still use them.

--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -187,6 +187,14 @@
 	balanceInterval = 500 * time.Millisecond
 	loadsReadGap    = 100 * time.Millisecond
 	loadAge         = 2 * time.Second
+	// quotaInterval is how often a leader revises its parts of limits, besides
+	// after each change of the record or of what others want, quotaGap the minimum
+	// time between two revisions. A transfer takes two intervals and a few calls to
+	// the store, well within the 2 s in which a shard can use 90 % of a limit.
+	quotaInterval = 250 * time.Millisecond
+	quotaGap      = 100 * time.Millisecond
+	// quotaReadGap is the pause between two reads of the record.
+	quotaReadGap = 50 * time.Millisecond
 	// deleteInterval is how often the records of old jobs are deleted.
 	deleteInterval = 5 * time.Second
 )
--- a/internal/process/leader/group.go
+++ b/internal/process/leader/group.go
@@ -47,7 +47,8 @@
 		each.Shard, each.Shards = number, config.Layout.Shards
 		each.UsualShard = config.Layout.OfJob
 		each.Keys = KeysOf(number, config.Layout.Shards)
-		each.Board.HoldsLongRunning, each.Board.Shards = config.Layout.Shards > 1, config.Layout.Shards
+		each.Board.HoldsLongRunning = config.Layout.Shards > 1
+		each.Board.Shard, each.Board.Shards = number, config.Layout.Shards
 		each.Duties = duties
 		each.Owns = func(listing schedule.Listing) bool {
 			return config.Layout.OfWorker(listing.ID, listing.Rack) == number
--- a/internal/process/leader/keys.go
+++ b/internal/process/leader/keys.go
@@ -19,6 +19,11 @@
 	// prefixMoved holds the shard of each job that is not in the shard that the
 	// layout names for it.
 	prefixMoved = prefixRoot + "moved/"
+	// prefixQuota holds the parts of the organisations' limits under keyQuotaParts,
+	// and the parts that each shard wants under prefixQuotaWants.
+	prefixQuota      = prefixRoot + "quota/"
+	keyQuotaParts    = prefixQuota + "parts"
+	prefixQuotaWants = prefixQuota + "wants/"
 )
 
 // Keys are the store keys of one shard.
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -146,6 +146,7 @@
 	l.term.deleteOldJobs(now)
 	l.term.saveLearned(now)
 	l.term.moves.balance(now)
+	l.term.quotas.revise(now)
 	l.term.summarise(now)
 }
 
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -52,6 +52,7 @@
 	summarisedAt    time.Time
 	waking          bool
 	moves           moves
+	quotas          quotas
 	removed         removedJobs
 }
 
@@ -105,6 +106,7 @@
 		l.board.Cancel(id, now)
 	}
 	t.moves = newMoves(t, result)
+	t.quotas = newQuotas(t)
 	l.leading.Store(true)
 	t.watchStore(result.revision)
 	t.updateLinks(now)
--- a/internal/process/quota/book.go
+++ b/internal/process/quota/book.go
@@ -11,18 +11,26 @@
 // Book holds the accounts of all organisations known to one leader.
 type Book struct {
 	accounts map[string]*Account
-	// shards is the number of leaders among whom each limit is divided.
-	shards int
+	// shard is the number of this leader's shard, of shards among which each limit
+	// is divided.
+	shard, shards int
+	// version is that of the configuration in force.
+	version int64
+	// parts is the newest record that may be used, nil before one was read.
+	// lowered holds what a revision without an answer leaves this shard.
+	parts   *Parts
+	lowered map[string]Amount
 	// total is the capacity that the organisations share, and activeWeight the sum
 	// of the weights of those that use it or wait for it.
 	total        worker.Size
 	activeWeight float64
 }
 
-// NewBook returns a book of one of several leaders.
-func NewBook(shards int) *Book {
+// NewBook returns the book of one of several shards.
+func NewBook(shard, shards int) *Book {
 	return &Book{
 		accounts: map[string]*Account{},
+		shard:    shard,
 		shards:   max(1, shards),
 	}
 }
@@ -55,7 +63,8 @@
 
 // SetOrganisations puts the organisations of a configuration version in force.
 // One that is missing from it keeps its last limit for its open jobs.
-func (b *Book) SetOrganisations(organisations map[string]catalog.Organisation) {
+func (b *Book) SetOrganisations(version int64, organisations map[string]catalog.Organisation) {
+	b.version = version
 	for name, account := range b.accounts {
 		if _, ok := organisations[name]; !ok {
 			account.Listed = false
@@ -67,11 +76,14 @@
 			b.setLimit(account, organisation.Limit)
 		}
 	}
+	if b.divided() {
+		b.resetBounds()
+	}
 }
 
 func (b *Book) setLimit(account *Account, limit worker.Size) {
 	account.Limit, account.known = limit, true
-	account.bound = Split(Bound(limit), b.shards)
+	b.setBound(account)
 }
 
 // Limits returns the last known limit of each organisation, for the next leader.
@@ -109,9 +121,5 @@
 // AddPossible counts tasks of a size that may be running on workers that have
 // not reported.
 func (a *Account) AddPossible(size worker.Size, tasks int) {
-	a.possible = a.possible.Add(worker.Size{
-		MilliCores:   size.MilliCores * int64(tasks),
-		MemoryBytes:  size.MemoryBytes * int64(tasks),
-		Accelerators: size.Accelerators * int64(tasks),
-	})
+	a.possible = a.possible.Add(Times(size, tasks))
 }
--- a/internal/process/quota/limit.go
+++ b/internal/process/quota/limit.go
@@ -32,23 +32,6 @@
 	return limit
 }
 
-// Split returns one of the equal parts of a bound. The parts never sum up to
-// more than the bound: what is left of the division stays unused.
-func Split(bound worker.Size, parts int) worker.Size {
-	return worker.Size{
-		MilliCores:   splitOf(bound.MilliCores, parts),
-		MemoryBytes:  splitOf(bound.MemoryBytes, parts),
-		Accelerators: splitOf(bound.Accelerators, parts),
-	}
-}
-
-func splitOf(bound int64, parts int) int64 {
-	if bound == Unlimited {
-		return Unlimited
-	}
-	return bound / int64(max(1, parts))
-}
-
 // count returns how many tasks that ask for need fit below the bound beside what
 // is used. A task that asks for nothing is not limited.
 func count(need, used, bound int64) int64 {
@@ -62,3 +45,12 @@
 func exceeds(need, used, bound int64) bool {
 	return need > 0 && used > bound-need
 }
+
+// Times returns what a number of tasks of a size ask for.
+func Times(size worker.Size, tasks int) worker.Size {
+	return worker.Size{
+		MilliCores:   size.MilliCores * int64(tasks),
+		MemoryBytes:  size.MemoryBytes * int64(tasks),
+		Accelerators: size.Accelerators * int64(tasks),
+	}
+}
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -38,9 +38,9 @@
 	// HoldsLongRunning delays the start of a long-running job until a round of
 	// moves has left it in this shard.
 	HoldsLongRunning bool
-	// Shards is the number of leaders among whom the limits of organisations are
-	// divided; zero means one.
-	Shards int
+	// Shard is the number of this leader's shard, of Shards among which the limits
+	// of organisations are divided; zero shards mean one.
+	Shard, Shards int
 }
 
 // Board is the whole state of the scheduler. It is owned by one goroutine.
@@ -112,7 +112,7 @@
 		interference: newInterference(),
 		unsaved:      map[string]*job{},
 		lost:         map[string]*lostWorker{},
-		quotas:       quota.NewBook(config.Shards),
+		quotas:       quota.NewBook(config.Shard, config.Shards),
 		startsLeft:   math.MaxInt,
 	}
 }
@@ -142,7 +142,7 @@
 // SetCatalog puts a version of the configuration into force.
 func (b *Board) SetCatalog(newest *catalog.Catalog) {
 	b.catalog = newest
-	b.quotas.SetOrganisations(newest.Organisations)
+	b.quotas.SetOrganisations(newest.Version, newest.Organisations)
 }
 
 // Evacuate sets the withdrawn zones, which get no new tasks.
