Quotas: order of an organisation computed once per decision; gang test

Change: an account keeps its order until its use, weight or age changes. TestMembersOfCompletedGangCountUntilTheirEnd. Ruled out: a sum of weights updated at each claim, since it is needed ten times a second only.

--- a/internal/process/quota/account.go
+++ b/internal/process/quota/account.go
@@ -30,19 +30,23 @@
 	waitingSince, lastWaiting time.Time
 	// active is set if the weight counts in the fair shares.
 	active bool
+	// order is the place at lastWaiting, valid if ordered is set: it is asked for
+	// once for each waiting job.
+	order   float64
+	ordered bool
 }
 
 // Add counts a run, and Remove its certain end.
 func (a *Account) Add(size worker.Size) {
 	if a != nil {
-		a.running = a.running.Add(size)
+		a.running, a.ordered = a.running.Add(size), false
 	}
 }
 
 // Remove counts the certain end of a run.
 func (a *Account) Remove(size worker.Size) {
 	if a != nil {
-		a.running = a.running.Sub(size)
+		a.running, a.ordered = a.running.Sub(size), false
 	}
 }
 
--- a/internal/process/quota/book.go
+++ b/internal/process/quota/book.go
@@ -72,7 +72,7 @@
 	}
 	for name, organisation := range organisations {
 		if account := b.Account(name); account != nil {
-			account.Weight, account.Listed = organisation.Weight, true
+			account.Weight, account.Listed, account.ordered = organisation.Weight, true, false
 			b.setLimit(account, organisation.Limit)
 		}
 	}
@@ -114,12 +114,12 @@
 // reported, and AddPossible adds to them.
 func (b *Book) ClearPossible() {
 	for _, account := range b.accounts {
-		account.possible = worker.Size{}
+		account.possible, account.ordered = worker.Size{}, false
 	}
 }
 
 // AddPossible counts tasks of a size that may be running on workers that have
 // not reported.
 func (a *Account) AddPossible(size worker.Size, tasks int) {
-	a.possible = a.possible.Add(Times(size, tasks))
+	a.possible, a.ordered = a.possible.Add(Times(size, tasks)), false
 }
--- a/internal/process/quota/share.go
+++ b/internal/process/quota/share.go
@@ -25,6 +25,7 @@
 func (b *Book) SetCapacity(total worker.Size, now time.Time) {
 	b.total, b.activeWeight = total, 0
 	for _, account := range b.accounts {
+		account.ordered = false
 		if account.running != (worker.Size{}) || now.Sub(account.lastWaiting) <= idleTime {
 			account.active = true
 			b.activeWeight += account.weight()
@@ -55,6 +56,8 @@
 		return 0
 	case account == nil:
 		return 1
+	case account.ordered && account.lastWaiting.Equal(now):
+		return account.order
 	}
 	if now.Sub(account.lastWaiting) > idleTime {
 		account.waitingSince = now
@@ -66,13 +69,14 @@
 	}
 	fairShares := b.DominantShare(account) * weights / account.weight()
 	aged := fairShares - now.Sub(account.waitingSince).Seconds()/agingTime.Seconds()
-	return max(0, math.Floor(aged/shareStep)*shareStep)
+	account.order, account.ordered = max(0, math.Floor(aged/shareStep)*shareStep), true
+	return account.order
 }
 
 // Started resets the age of an organisation: a task of it is started.
 func (a *Account) Started(now time.Time) {
 	if a != nil {
-		a.waitingSince = now
+		a.waitingSince, a.ordered = now, false
 	}
 }
 
--- a/internal/process/schedule/quotas_test.go
+++ b/internal/process/schedule/quotas_test.go
@@ -187,3 +187,37 @@
 		})
 	}
 }
+
+// The end of one member completes a gang while the others may still be running:
+// they count until their workers no longer list them.
+func TestMembersOfCompletedGangCountUntilTheirEnd(t *testing.T) {
+	board := testBoard("w0", "w1")
+	board.SetCatalog(withLimit(worker.Size{
+		MilliCores: 10_000,
+	}))
+	gang := tasks(2, 5000)
+	gang.Gang = true
+	board.AddJob(millJob("a", "plans", gang), nil, false, testStart, testStart)
+	effects := board.Decide(testStart, true)
+	require.Len(t, effects.Starts, 2)
+	accept(board, effects, testStart)
+	now := testStart.Add(time.Second)
+	ended, remains := effects.Starts[0], effects.Starts[1]
+	board.ApplyReport(ended.Worker, Inventory{
+		Born: testBorn,
+		Ended: []EndedTask{{
+			Number: 1,
+			Key:    ended.Key,
+			Run:    ended.Run,
+			Ending: EndedDone,
+		}},
+		Sent: now,
+	}, now)
+	board.AddJob(millJob("b", "plans", tasks(2, 5000)), nil, false, now, now)
+	assert.Len(t, board.Decide(now, true).Starts, 1, "the other member may be running")
+	board.ApplyReport(remains.Worker, Inventory{
+		Born: testBorn,
+		Sent: now,
+	}, now)
+	assert.Len(t, board.Decide(now, true).Starts, 1)
+}
