--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -58,6 +58,7 @@
 	urgentCounts    schedule.UrgentCounts
 	waking          bool
 	moves           moves
+	quotas          quotas
 	removed         removedJobs
 	owners          owners
 }
@@ -115,6 +116,7 @@
 	}
 	t.moves = newMoves(t, result)
 	l.lag.began(result.resignations, now)
+	t.quotas = newQuotas(t)
 	l.leading.Store(true)
 	t.watchStore(result.revision)
 	t.updateLinks(now)
