Tasks wait for their preferred rack while that is sooner than a run elsewhere

Cause: a task whose rack is full took any worker, where it runs remote_factor times as long, and a step that asks for one rack was spread over all.

Change: internal/process/locality decides whether a wait is worthwhile, from the expected time until a place on the rack comes free (runs there, tasks that wait already), the loss elsewhere, the rest of the job in parallel and the slack to its objective. schedule builds the inputs, keeps the waits, learns the ratio of run times and the error of waits by queue, and places groups on one rack as a unit. remote_factor is an optional setting; without it and without a learned ratio nothing waits.

--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -22,6 +22,7 @@
 		"fillers", summary.Fillers, "serving", summary.Serving, "workers", summary.Workers, "capacity", summary.Capacity,
 		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare,
 		"events", len(t.leader.events), "orders", len(t.waiting))
+	t.reportWaits(summary.Placement)
 	if summary.Delayed == 0 {
 		return
 	}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -50,10 +50,12 @@
 	learned         learnedState
 	writer          writer
 	summarisedAt    time.Time
-	waking          bool
-	moves           moves
-	removed         removedJobs
-	owners          owners
+	// reportedWaits are the waits for preferred racks that were logged and counted.
+	reportedWaits schedule.WaitCounts
+	waking        bool
+	moves         moves
+	removed       removedJobs
+	owners        owners
 }
 
 func (t *term) keys() *Keys {
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -41,6 +41,9 @@
 	// Shards is the number of leaders among whom the limits of organisations are
 	// divided; zero means one.
 	Shards int
+	// RemoteFactor is the ratio of a task's run time off its preferred rack to
+	// that on it, zero if it is not known.
+	RemoteFactor float64
 }
 
 // Board is the whole state of the scheduler. It is owned by one goroutine.
@@ -95,6 +98,8 @@
 	// leader.
 	quotas          *quota.Book
 	possiblyRunning []*job
+	// placement decides on waits for preferred racks.
+	placement *placement
 }
 
 // NewBoard returns an empty board.
@@ -113,6 +118,7 @@
 		unsaved:      map[string]*job{},
 		lost:         map[string]*lostWorker{},
 		quotas:       quota.NewBook(config.Shards),
+		placement:    newPlacement(),
 		startsLeft:   math.MaxInt,
 	}
 }
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -68,12 +68,13 @@
 // Weights of a worker's score. Each is well above the next, so that they decide
 // in this order: avoid the worker where the task failed last, keep tasks that
 // may crash their workers apart, avoid suspect workers, prefer the data's rack,
-// then compare free capacity.
+// leave racks to the tasks that wait for them, then compare free capacity.
 const (
 	weightAvoid     = 1000.0
 	weightIsolation = 40.0
 	weightLocality  = 10.0
 	weightHealth    = 20.0
+	weightAwaited   = 5.0
 	// weightInterference weighs the headroom that a filler takes against unused
 	// cores.
 	weightInterference = 2.0
@@ -93,8 +94,10 @@
 	if w.health.suspect() {
 		score -= weightHealth
 	}
-	if spec.Rack != "" && slices.Contains(w.Labels, spec.Rack) {
+	if rack := step.preferredRack(); rack != "" && w.onRack(rack) {
 		score += weightLocality
+	} else if b.placement.awaited(w, rack) {
+		score -= weightAwaited
 	}
 	score -= weightIsolation * float64(w.suspicion)
 	free := w.Capacity.Sub(w.used)
@@ -149,6 +152,11 @@
 	if now.Before(step.tasks[0].notBefore) || j.account.MayStart(step.spec.Size) < len(step.tasks) {
 		return
 	}
+	preferred := b.preference(j, step, pool, now)
+	if preferred.groupWaits() {
+		return
+	}
+	pool = preferred.groupPool(pool)
 	run, everClaimed := b.nextRun(), j.everClaimed
 	chosen := make([]*workerState, 0, len(step.tasks))
 	for _, t := range step.tasks {
@@ -170,6 +178,7 @@
 	j.account.Started(now)
 	checkpoint := gangCheckpoint(step)
 	for i, t := range step.tasks {
+		b.placed(j, step, t, chosen[i], now)
 		b.sendStart(j, step, Start{
 			Worker:     chosen[i].ID,
 			Key:        t.key,
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -63,6 +63,8 @@
 	// changed.
 	progress     int
 	lastProgress time.Time
+	// saved is the progress of the checkpoint that the run began with.
+	saved int
 }
 
 // stepKey identifies a step of one occurrence of a job.
@@ -86,6 +88,7 @@
 		held.suspicion = len(t.crashes)
 		b.markChanged(j) // the record charges the run in advance
 	}
+	held.saved = t.saved
 	w.addClaim(t.key, held)
 	b.unreserve(t.key)
 	if t.phase == waiting {
--- a/internal/process/schedule/health.go
+++ b/internal/process/schedule/health.go
@@ -54,6 +54,6 @@
 	}
 	w.health.record(end.Ending, now)
 	if end.Ending == EndedDone {
-		b.estimates.learn(j.work.Queue, j.work.Steps[end.Key.Step].Estimate, now.Sub(held.started))
+		b.learnRun(j, w, end.Key, held, now)
 	}
 }
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -174,6 +174,9 @@
 	}
 	if j := b.jobs[row.Key.Job]; j != nil {
 		if _, _, t := j.find(row.Key); t != nil && t.run == row.Run && row.Checkpoint != "" {
+			if t.checkpoint != row.Checkpoint {
+				t.saved = row.Percent
+			}
 			t.checkpoint = row.Checkpoint
 		}
 	}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -29,6 +29,11 @@
 	run    int64
 	// checkpoint is the newest known one.
 	checkpoint string
+	// saved is the progress, in percent, at which the checkpoint was first
+	// reported.
+	saved int
+	// wait is set while the task waits for its preferred rack.
+	wait *wait
 	// failures lists the runs that failed.
 	failures []int64
 	// crashes lists the runs that may have crashed their workers, since the last
@@ -60,6 +65,10 @@
 	// advice holds the workers that may run the step by ticket, nil if none
 	// were requested.
 	advice *advice
+	// home is the rack on which the tasks of a step that asks for one rack are
+	// kept together, and wait is set while such a step waits for a rack.
+	home string
+	wait *wait
 }
 
 // occurrence is one scheduled execution of a job's steps.
--- a/internal/process/schedule/learned.go
+++ b/internal/process/schedule/learned.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/process/locality"
 )
 
 // Learned is what a leader has learned and passes on to its successor. Load
@@ -23,6 +24,9 @@
 	// Limits holds the last known limit of each organisation, which applies to
 	// its open jobs after it has left the configuration.
 	Limits map[string]worker.Size `cbor:"5,keyasint,omitempty"`
+	// Placement is what each queue has shown of its run times on preferred racks
+	// and of its waits for them.
+	Placement map[string]*locality.Experience `cbor:"8,keyasint,omitempty"`
 }
 
 // LearnedCoefficient is the interference coefficient of one pair of images.
@@ -41,6 +45,7 @@
 		Factors:      b.estimates.factors,
 		Work:         b.estimates.work,
 		Limits:       b.quotas.Limits(),
+		Placement:    b.placement.experience,
 	}
 	for key, known := range b.interference.coefficients {
 		out.Coefficients = append(out.Coefficients, LearnedCoefficient{
@@ -78,4 +83,5 @@
 		b.estimates.work[queue] = mean
 	}
 	b.quotas.RestoreLimits(learned.Limits)
+	b.placement.restore(learned.Placement)
 }
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -11,6 +11,7 @@
 
 // place goes through the waiting jobs by rank and starts the tasks that fit.
 func (b *Board) place(now time.Time) {
+	b.placement.begin(now)
 	candidates := make([]candidate, 0, len(b.open))
 	for _, j := range b.open {
 		if j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated) {
@@ -102,6 +103,10 @@
 	if !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID) {
 		return
 	}
+	preferred := b.preference(j, step, pool, now)
+	if preferred.groupWaits() {
+		return
+	}
 	for _, t := range step.tasks {
 		if b.startsLeft <= 0 || !j.account.Admits(step.spec.Size) {
 			return
@@ -111,6 +116,7 @@
 		}
 		w := b.chooseWorker(step, t, pool)
 		switch {
+		case w != nil && preferred.waits(t, w):
 		case w != nil:
 			b.start(w, j, step, t, b.nextRun(), now)
 		case urgent:
@@ -141,6 +147,7 @@
 func (b *Board) start(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) {
 	b.startsLeft--
 	b.claim(w, j, step, t, run, now)
+	b.placed(j, step, t, w, now)
 	j.account.Started(now)
 	b.sendStart(j, step, Start{
 		Worker:     w.ID,
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -19,12 +19,15 @@
 	Throttled int
 	// MemoryShare is the claimed part of the memory.
 	MemoryShare float64
+	// Placement counts the waits for preferred racks.
+	Placement WaitCounts
 }
 
 // Summary returns the current counts of the board.
 func (b *Board) Summary(now time.Time) Summary {
 	out := Summary{
-		Open: len(b.open),
+		Open:      len(b.open),
+		Placement: b.placement.counts,
 	}
 	for _, j := range b.open {
 		for _, occ := range j.occurrences {
