--- a/internal/process/schedule/bench_test.go
+++ b/internal/process/schedule/bench_test.go
@@ -126,3 +126,73 @@
 		poll(board, "w00", testStart)
 	}
 }
+
+// BenchmarkDecideRacks times a decision of a leader whose jobs all want the rack
+// of their data, half of them the same one.
+func BenchmarkDecideRacks(b *testing.B) {
+	for name, factor := range map[string]float64{
+		"no waits": 0,
+		"waits":    2,
+	} {
+		b.Run(name, func(b *testing.B) {
+			board := rackBenchBoard(factor)
+			now := testStart.Add(rackBenchTime)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				board.LimitStarts(64)
+				board.Decide(now, true)
+			}
+			b.ReportMetric(float64(board.placement.counts.Waiting), "waits")
+		})
+	}
+}
+
+// rackBenchTime is when the second jobs of rackBenchBoard arrive.
+const rackBenchTime = 1500 * time.Millisecond
+
+// rackBenchBoard returns a board of 350 workers on 30 racks, of which the first is
+// full when more jobs arrive that want it.
+func rackBenchBoard(factor float64) *Board {
+	const workers, racks, first, all = 350, 30, 100, 160
+	config := testConfig()
+	config.RemoteFactor = factor
+	board := NewBoard(config)
+	board.SetCatalog(testCatalog())
+	board.Begin(testToken, testStart)
+	listings := map[string]Listing{}
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		listings[id] = Listing{
+			ID:      id,
+			Address: testAddress(i),
+			Zone:    "recife",
+			Service: "workshop",
+			Capacity: worker.Size{
+				MilliCores: 64000,
+			},
+			Rack: fmt.Sprintf("r%02d", i%racks),
+			Born: testBorn,
+		}
+	}
+	board.SetWorkers(listings, true, testStart)
+	for id := range listings {
+		poll(board, id, testStart)
+	}
+	now := testStart
+	for i := range all {
+		if i == first {
+			accept(board, board.Decide(now, true), now)
+			now = now.Add(rackBenchTime)
+		}
+		rack := "r00"
+		if i < first && i%2 == 0 {
+			rack = fmt.Sprintf("r%02d", i/2%racks)
+		}
+		step := tasks(12, 7000)
+		step.Rack, step.Estimate = rack, 2*time.Second
+		board.AddJob(testJob(fmt.Sprintf("%016d", i), "plans", step), nil, false, now, now)
+	}
+	accept(board, board.Decide(now, true), now)
+	return board
+}
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -152,11 +152,9 @@
 	if now.Before(step.tasks[0].notBefore) || j.account.MayStart(step.spec.Size) < len(step.tasks) {
 		return
 	}
-	preferred := b.preference(j, step, pool, now)
-	if preferred.groupWaits() {
+	if b.preference(j, step, pool, now).groupWaits() {
 		return
 	}
-	pool = preferred.groupPool(pool)
 	run, everClaimed := b.nextRun(), j.everClaimed
 	chosen := make([]*workerState, 0, len(step.tasks))
 	for _, t := range step.tasks {
--- a/internal/process/schedule/groups.go
+++ b/internal/process/schedule/groups.go
@@ -14,15 +14,6 @@
 	return p != nil && p.holdsBack
 }
 
-// groupPool returns the workers for a gang: those of its rack if it is placed on
-// one, else all of the pool.
-func (p *preference) groupPool(pool []*workerState) []*workerState {
-	if p == nil || p.chosen == nil {
-		return pool
-	}
-	return p.chosen
-}
-
 // placeGroup chooses the rack for a step whose tasks start as a unit: a gang, or
 // a step that asks for one rack and of which nothing runs yet. Tasks that are
 // added later join the others.
@@ -48,7 +39,6 @@
 		if step.spec.OneRack {
 			step.home = rack
 		}
-		p.chosen = p.suitable(rack)
 		return
 	}
 	if p.factor <= 1 || p.room(pool) < step.waiting {
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -114,7 +114,10 @@
 		if t.phase != waiting || now.Before(t.notBefore) || !b.mayStartTask(j, t, now) {
 			continue
 		}
-		w := b.chooseWorker(step, t, pool)
+		w := preferred.declinedBefore(t)
+		if w == nil {
+			w = b.chooseWorker(step, t, pool)
+		}
 		switch {
 		case w != nil && preferred.waits(t, w):
 		case w != nil:
--- a/internal/process/schedule/preference.go
+++ b/internal/process/schedule/preference.go
@@ -21,9 +21,11 @@
 	// float and slack are those of locality.Wait, valid once measured is set.
 	float, slack time.Duration
 	measured     bool
-	// holdsBack is set if the step is placed as a unit and waits. chosen holds the workers of the rack that a gang is placed on.
+	// holdsBack is set if the step is placed as a unit and waits.
 	holdsBack bool
-	chosen    []*workerState
+	// declined is the worker that the task before this one was offered, if it
+	// waits.
+	declined *workerState
 }
 
 // preference returns the preference of a step, nil if it has none. Steps that
@@ -57,12 +59,26 @@
 	return p
 }
 
+// declinedBefore returns the worker that the choice would find for a task, if
+// the task before it has declined it: nothing has changed since, and the tasks of
+// a step are alike but for those that failed or may have crashed a worker.
+func (p *preference) declinedBefore(t *task) *workerState {
+	if p == nil || p.declined == nil || t.avoid != "" || len(t.crashes) > 0 {
+		return nil
+	}
+	if _, ok := p.board.reservations[t.key]; ok {
+		return nil
+	}
+	return p.declined
+}
+
 // waits reports whether a task, for which a worker is free, waits for its
 // preferred rack instead.
 func (p *preference) waits(t *task, w *workerState) bool {
 	if p == nil || p.factor <= 1 || p.step.spec.Gang {
 		return false
 	}
+	p.declined = nil
 	rack := p.step.preferredRack()
 	if rack == "" || w.onRack(rack) {
 		return false
@@ -88,6 +104,9 @@
 	}
 	t.wait = b.continueWait(t.wait, rack, lasted, near, p.now)
 	forecast.Take(name, size, near, p.rest(t.saved))
+	if t.avoid == "" && len(t.crashes) == 0 {
+		p.declined = w
+	}
 	return true
 }
 
--- a/internal/process/schedule/preference_test.go
+++ b/internal/process/schedule/preference_test.go
@@ -217,6 +217,7 @@
 		fleet.run(1800 * time.Millisecond)
 	}
 	assert.InDelta(t, 1.5, fleet.board.remoteFactor("plans"), 0.15)
+	assert.InDelta(t, 1, fleet.board.estimates.factors["plans"], 0.1, "estimates are those of runs on the rack")
 	successor := fleet.newBoard(testToken + 1)
 	successor.RestoreLearned(fleet.board.Learned(), fleet.now)
 	assert.InDelta(t, fleet.board.remoteFactor("plans"), successor.remoteFactor("plans"), 1e-9)
