--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -24,6 +24,7 @@
 		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare,
 		"preempted_down", summary.Down, "events", len(t.leader.events), "orders", len(t.waiting), "late", t.leader.lag.judge.delay)
 	t.summariseOrganisations(now)
+	t.reportWaits(summary.Placement)
 	if summary.Delayed == 0 {
 		return
 	}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -55,12 +55,14 @@
 	learned         learnedState
 	writer          writer
 	summarisedAt    time.Time
-	urgentCounts    schedule.UrgentCounts
-	waking          bool
-	moves           moves
-	quotas          quotas
-	removed         removedJobs
-	owners          owners
+	// reportedWaits are the waits for preferred racks that were logged and counted.
+	reportedWaits schedule.WaitCounts
+	urgentCounts  schedule.UrgentCounts
+	waking        bool
+	moves         moves
+	quotas        quotas
+	removed       removedJobs
+	owners        owners
 }
 
 func (t *term) keys() *Keys {
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -45,6 +45,9 @@
 	// Shard is the number of this leader's shard, of Shards among which the limits
 	// of organisations are divided; zero shards mean one.
 	Shard, Shards int
+	// RemoteFactor is the ratio of a task's run time off its preferred rack to
+	// that on it, zero if it is not known.
+	RemoteFactor float64
 }
 
 // Board is the whole state of the scheduler. It is owned by one goroutine.
@@ -104,6 +107,8 @@
 	// leader.
 	quotas          *quota.Book
 	possiblyRunning []*job
+	// placement decides on waits for preferred racks.
+	placement *placement
 }
 
 // NewBoard returns an empty board.
@@ -125,6 +130,7 @@
 		unsaved:        map[string]*job{},
 		lost:           map[string]*lostWorker{},
 		quotas:         quota.NewBook(config.Shard, config.Shards),
+		placement:      newPlacement(),
 		startsLeft:     math.MaxInt,
 	}
 }
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -11,6 +11,7 @@
 
 // place goes through the waiting jobs by rank and starts the tasks that fit.
 func (b *Board) place(now time.Time) {
+	b.placement.begin(now)
 	candidates := b.ranked(func(j *job) bool {
 		return j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated)
 	}, now)
@@ -102,6 +103,10 @@
 	if ruledOut && !step.spec.LongRunning {
 		return
 	}
+	preferred := b.preference(j, step, pool, now)
+	if preferred.groupWaits() {
+		return
+	}
 	for _, t := range step.tasks {
 		if ruledOut && !b.longDown(step, t, now) {
 			continue
@@ -112,8 +117,12 @@
 		if t.phase != waiting || now.Before(t.notBefore) || !b.mayStartTask(j, t, now) {
 			continue
 		}
-		w := b.chooseWorker(step, t, pool)
+		w := preferred.declinedBefore(t)
+		if w == nil {
+			w = b.chooseWorker(step, t, pool)
+		}
 		switch {
+		case w != nil && preferred.waits(t, w):
 		case w != nil:
 			b.order.Started(&j.rank, b.taskWork(j, step.spec), now)
 			b.start(w, j, step, t, b.nextRun(), now)
@@ -147,6 +156,7 @@
 func (b *Board) start(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) {
 	b.startsLeft--
 	b.claim(w, j, step, t, run, now)
+	b.placed(j, step, t, w, now)
 	j.account.Started(now)
 	b.sendStart(j, step, Start{
 		Worker:     w.ID,
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -24,14 +24,17 @@
 	// Down is the number of preempted long-running tasks that have not started
 	// again.
 	Down int
+	// Placement counts the waits for preferred racks.
+	Placement WaitCounts
 }
 
 // Summary returns the current counts of the board.
 func (b *Board) Summary(now time.Time) Summary {
 	out := Summary{
-		Open:   len(b.open),
-		Urgent: b.urgentCapacity.counts,
-		Down:   len(b.urgentCapacity.preempted),
+		Open:      len(b.open),
+		Urgent:    b.urgentCapacity.counts,
+		Down:      len(b.urgentCapacity.preempted),
+		Placement: b.placement.counts,
 	}
 	for _, j := range b.open {
 		for _, occ := range j.occurrences {
