Quotas: unanswered starts under a reduced limit are barred

Cause: a start without an answer that the reduced limit no longer admits was neither repeated nor stopped. Two of them could exceed the limit alone, and then nothing of the organisation started any more (TestOrganisationsWorkEnds). Change: a run that a report lists goes on; one that a report from a stop grace after its start does not list is barred, and its claim ends as after any stop. Ruled out: a stop without a report, which could end a run under a reduced limit.

--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -82,10 +82,14 @@
 			b.stop(w.ID, start.Key, start.Run, "no_answer")
 			continue
 		}
-		if !w.reachable || !held.stillAdmits() {
-			// Sending it would extend the leases of an unreachable worker's runs. A
-			// run that its organisation's limit no longer admits may have begun: it
-			// keeps its claim and is not stopped.
+		if !held.stillAdmits() {
+			if b.withholdRetry(w, held, start) {
+				later = append(later, start)
+			}
+			continue
+		}
+		if !w.reachable {
+			// Sending it would extend the leases of the worker's runs.
 			later = append(later, start)
 			continue
 		}
--- a/internal/process/schedule/quotas.go
+++ b/internal/process/schedule/quotas.go
@@ -105,3 +105,18 @@
 	}
 	b.quotas.SetCapacity(total, now)
 }
+
+// withholdRetry handles a start without an answer that the limit in force no
+// longer admits. A run that has begun goes on; one that a later report does not
+// list is barred, since its claim would hold back other work of the organisation.
+// It reports whether neither is known yet.
+func (b *Board) withholdRetry(w *workerState, held *claim, start Start) bool {
+	switch {
+	case held.confirmed:
+		return false
+	case w.reachable && w.lastReport.After(held.started.Add(b.config.StopGrace)):
+		b.stop(w.ID, start.Key, start.Run, "no_answer")
+		return false
+	}
+	return true
+}
--- a/internal/process/schedule/quotas_test.go
+++ b/internal/process/schedule/quotas_test.go
@@ -221,3 +221,40 @@
 	}, now)
 	assert.Len(t, board.Decide(now, true).Starts, 1)
 }
+
+// Two starts without an answer must not hold back an organisation for ever after
+// its limit is reduced below them. Found by TestOrganisationsWorkEnds with seed
+// 15063939679163237944.
+func TestUnansweredStartsUnderReducedLimitAreBarred(t *testing.T) {
+	board := testBoard("w0", "w1")
+	board.SetCatalog(withLimit(worker.Size{
+		MilliCores: 4000,
+	}))
+	board.AddJob(millJob("a", "plans", tasks(2, 2000)), nil, false, testStart, testStart)
+	effects := board.Decide(testStart, true)
+	require.Len(t, effects.Starts, 2)
+	for _, start := range effects.Starts {
+		board.StartReplied(start, Unknown, testStart)
+	}
+	board.SetCatalog(withLimit(worker.Size{
+		MilliCores: 2000,
+	}))
+	effects = board.Decide(testStart, true)
+	assert.Empty(t, effects.Starts)
+	assert.Empty(t, effects.Stops, "they may have begun")
+
+	now := testStart.Add(2 * testStopGrace)
+	for _, id := range []string{"w0", "w1"} {
+		report(board, id, testBorn, now)
+	}
+	effects = board.Decide(now, true)
+	require.NotEmpty(t, effects.Stops, "the workers do not list them")
+	for _, stop := range effects.Stops {
+		board.StopReplied(stop, Accepted, now)
+	}
+	now = now.Add(2 * testStopGrace)
+	for _, id := range []string{"w0", "w1"} {
+		report(board, id, testBorn, now)
+	}
+	assert.Len(t, board.Decide(now, true).Starts, 1)
+}
