--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -122,6 +122,10 @@
 	resigns bool
 	// quotas is set if the jobs belong to organisations with limits.
 	quotas *quotaSimulation
+	// preempts is set if long-running tasks are large and may be preempted for
+	// quick ones; preempted counts these.
+	preempts  bool
+	preempted int
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -172,6 +176,9 @@
 	}
 	sim.token += 10
 	sim.board = NewBoard(testConfig())
+	if sim.preempts {
+		sim.board.config.Notice = simulationStep
+	}
 	sim.board.SetCatalog(sim.catalog())
 	sim.board.Begin(sim.token, sim.now)
 	if sim.quotas != nil {
@@ -234,6 +241,9 @@
 	if sim.longRunning && rapid.Bool().Draw(sim.t, "long running") {
 		spec.Steps = spec.Steps[:1]
 		spec.Steps[0].LongRunning = true
+		if sim.preempts {
+			spec.Steps[0].Size.MilliCores, spec.Steps[0].MaxUnavailable = 4000, 3
+		}
 	}
 	if sim.quotas != nil {
 		sim.quotas.assign(sim.t, spec)
@@ -282,7 +292,7 @@
 
 func (sim *simulation) checkStart(start Start) {
 	for id, simWorker := range sim.workers {
-		require.Nil(sim.t, simWorker.running[start.Key], "%s is started while it runs on %s", start.Key, id)
+		require.Nil(sim.t, simWorker.running[start.Key], "%s is started while it runs on %s; preemptions %d", start.Key, id, sim.preempted)
 	}
 	spec := sim.specs[start.Key.Job]
 	if spec.LongRunning() {
@@ -303,6 +313,7 @@
 // decide carries out a board's orders, with faults of the network.
 func (sim *simulation) decide(board *Board, allowed bool) {
 	effects := board.Decide(sim.now, allowed)
+	sim.preempted += len(effects.Preemptions)
 	for _, stop := range effects.Stops {
 		simWorker := sim.workers[stop.Worker]
 		if simWorker == nil || simWorker.partitioned || board.token < simWorker.token {
@@ -398,10 +409,14 @@
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(simWorker.running), compareKeys) {
 		running := simWorker.running[key]
-		inventory.Running = append(inventory.Running, RunningTask{
+		row := RunningTask{
 			Key: key,
 			Run: running.run,
-		})
+		}
+		if sim.preempts && sim.specs[key.Job].LongRunning() {
+			row.Percent = 100
+		}
+		inventory.Running = append(inventory.Running, row)
 	}
 	board.ApplyReport(id, inventory, sim.now)
 }
@@ -561,6 +576,21 @@
 	})
 }
 
+// A task that is preempted for a quick one starts again elsewhere or on the same
+// worker, also if the stop is lost or the leader changes in between.
+func TestNoPreemptedTaskRunsTwice(t *testing.T) {
+	preempted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t)
+		sim.longRunning, sim.preempts = true, true
+		sim.board.config.Notice = simulationStep
+		sim.runWithFaults()
+		preempted += sim.preempted
+	})
+	require.Positive(t, preempted, "the load causes preemptions")
+	t.Logf("%d preemptions", preempted)
+}
+
 // TestAllWorkEnds stops the faults after a while: every job must then end.
 func TestAllWorkEnds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
