--- a/internal/process/leader/owners_test.go
+++ b/internal/process/leader/owners_test.go
@@ -57,9 +57,10 @@
 	s := newSite(t)
 	group := s.startGroup(t.Context(), "recife-1", twoShards)
 	require.Eventually(t, func() bool { return leads(group) == 2 }, waitTimeout, 5*time.Millisecond)
-	s.submitOwned(KeysOf(0, 2), "a", "paper")
+	group.SetCatalog(limitedCatalog())
+	s.submitOwned(KeysOf(0, 2), "a", "mill")
 	s.waitCompletedIn([]*Group{group}, 1, "a")
-	assert.Equal(t, "paper", groupState(group, 1, "a").Organisation)
+	assert.Equal(t, "mill", groupState(group, 1, "a").Organisation)
 	left := make(chan owners, 2)
 	for _, each := range group.leaders {
 		each.post(func(now time.Time) {
--- a/internal/process/schedule/racks_simulation_test.go
+++ b/internal/process/schedule/racks_simulation_test.go
@@ -2,21 +2,14 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
-// besideSuccessor is how long a former leader of the program may still act. With
-// the term that the other simulations give it, tasks run twice without a
-// preference too: see KNOWN-RED.txt.
-const besideSuccessor = time.Second
-
 // preferRacks lets all steps prefer racks, of which each worker has its own.
 func (sim *simulation) preferRacks() {
 	sim.board.config.RemoteFactor = 3
-	sim.previousUntil = earlier(sim.previousUntil, sim.board.termStart.Add(besideSuccessor))
 	for id, simWorker := range sim.workers {
 		simWorker.listing.Rack = id
 	}
