--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -108,13 +108,10 @@
 		return
 	}
 	for _, t := range step.tasks {
-		if ruledOut && !b.longDown(step, t, now) {
-			continue
-		}
 		if b.startsLeft <= 0 || !j.account.Admits(step.spec.Size) {
 			return
 		}
-		if t.phase != waiting || now.Before(t.notBefore) || !b.mayStartTask(j, t, now) {
+		if ruledOut && !b.longDown(step, t, now) || !b.startable(j, t, now) {
 			continue
 		}
 		w := preferred.declinedBefore(t)
@@ -137,6 +134,12 @@
 	}
 }
 
+// startable reports whether a task waits and nothing but capacity may keep it from
+// a start.
+func (b *Board) startable(j *job, t *task, now time.Time) bool {
+	return t.phase == waiting && !now.Before(t.notBefore) && b.mayStartTask(j, t, now)
+}
+
 // urgent reports whether the job is a quick one of the highest priority:
 // lower-priority work is preempted for it.
 func (b *Board) urgent(j *job) bool {
