--- a/internal/connection/inquiry/inquiry_test.go
+++ b/internal/connection/inquiry/inquiry_test.go
@@ -55,11 +55,13 @@
 		hub.Close(ctx)
 	})
 	client := New(Config{
-		Host:   host,
-		Shards: 1,
-		Hub:    hub,
-		Inbox:  inbox,
-		Answer: func(_ leader.Question, reply func(leader.Answer)) { reply(answer) },
+		Host:     host,
+		Shards:   1,
+		Hub:      hub,
+		Inbox:    inbox,
+		Answer:   func(_ leader.Question, reply func(leader.Answer)) { reply(answer) },
+		Report:   func() leader.HostReport { return leader.HostReport{} },
+		Reported: func(string, leader.HostReport) {},
 	})
 	go client.Run(t.Context())
 	return client, self
