Only steps that state a limit are preempted for quick tasks

Cause: the merge let a quarter of each step without may_miss be preempted, to act on K and L, where no step states one. What keeps long-running tasks from waiting beside free capacity stays. Ruled out: a switch in the settings, since nothing in them tells deployments apart.

--- a/internal/process/reserve/availability.go
+++ b/internal/process/reserve/availability.go
@@ -48,16 +48,3 @@
 	}
 	return max(0, left)
 }
-
-// unstatedShare is the part of a step without a stated limit, as a divisor, that
-// may be unavailable at a time: its users keep most of the service.
-const unstatedShare = 4
-
-// Limit returns how many members of a step may be unavailable at a time. A step
-// that states no limit gets one in proportion to its members.
-func Limit(stated, members int) int {
-	if stated > 0 {
-		return stated
-	}
-	return max(1, members/unstatedShare)
-}
--- a/internal/process/schedule/preemptible.go
+++ b/internal/process/schedule/preemptible.go
@@ -83,7 +83,7 @@
 	for _, t := range step.tasks {
 		members = append(members, b.member(t, now))
 	}
-	allowed := reserve.Preemptible(members, reserve.Limit(step.spec.MaxUnavailable, len(members)), b.config.Notice, now)
+	allowed := reserve.Preemptible(members, step.spec.MaxUnavailable, b.config.Notice, now)
 	b.urgentCapacity.allowed[key] = allowed
 	return allowed
 }
--- a/internal/process/schedule/replay_workers_test.go
+++ b/internal/process/schedule/replay_workers_test.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"mustardreach.example/mustardreach/internal/process/reserve"
 )
 
 func (r *replay) finishRuns(id string) {
@@ -89,7 +87,7 @@
 	r.stops[stop.Reason]++
 	run := r.workers[stop.Worker].running[stop.Key]
 	spec := r.board.jobs[stop.Key.Job].work.Steps[stop.Key.Step]
-	if run != nil && run.longRunning && r.unavailableBeside(stop.Key)+1 > reserve.Limit(spec.MaxUnavailable, spec.Count) {
+	if run != nil && run.longRunning && r.unavailableBeside(stop.Key)+1 > spec.MaxUnavailable {
 		r.overMissed++
 	}
 	if run != nil && run.run <= stop.Run && !run.stopped {
--- a/internal/process/schedule/urgent_replay_test.go
+++ b/internal/process/schedule/urgent_replay_test.go
@@ -67,27 +67,30 @@
 	}
 }
 
-// Without the notice period it is not known which members count as unavailable:
-// none may be preempted.
-func TestLongRunningTasksAreNotPreemptedWithoutANoticePeriod(t *testing.T) {
-	r := newReplay(t, 6, 1)
-	r.board.config.Notice = 0
-	r.addLongRunning(0.97, 2)
-	r.run(8*time.Second, 0)
-	r.run(10*time.Second, 2)
-	assert.Empty(t, r.stops)
-}
-
-// Guards against a step without a stated limit that loses most of its members at
-// once: three quarters of them stay available.
-func TestStepsWithoutAStatedLimitKeepMostMembers(t *testing.T) {
-	r := newReplay(t, 16, 1)
-	r.addLongRunning(0.97, 0)
-	r.run(8*time.Second, 0)
-	r.run(20*time.Second, 4)
-	assert.NotEmpty(t, r.stops, "the load causes preemptions")
-	assert.Zero(t, r.overMissed)
-	assert.Zero(t, r.idleWaits)
+// Without the notice period it is not known which members count as unavailable,
+// and a step that allows none must lose none.
+func TestLongRunningTasksAreNotPreemptedWithoutALimit(t *testing.T) {
+	tests := map[string]struct {
+		notice         time.Duration
+		maxUnavailable int
+	}{
+		"notice period unknown": {
+			maxUnavailable: 2,
+		},
+		"no unavailable member allowed": {
+			notice: replayNotice,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newReplay(t, 6, 1)
+			r.board.config.Notice = tt.notice
+			r.addLongRunning(0.97, tt.maxUnavailable)
+			r.run(8*time.Second, 0)
+			r.run(10*time.Second, 2)
+			assert.Empty(t, r.stops)
+		})
+	}
 }
 
 // Guards against a successor that stops further members of a step while those
