Organisations within their fair share count as equal

Cause: the order by weighted share came before the value of jobs also among organisations that use less than their share, so that nearly always a job of little value went first. Change: only what exceeds the fair share counts in the rank of a job.

--- a/internal/process/schedule/rank.go
+++ b/internal/process/schedule/rank.go
@@ -31,7 +31,7 @@
 	if j.stale {
 		j.remaining, j.rank.Density, j.stale = b.criticalPath(j), b.density(j), false
 	}
-	j.rank.OrganisationShare = b.quotas.Order(j.account, now)
+	j.rank.OrganisationShare = b.overFairShare(j, now)
 	j.rank.Service = b.serviceOf(j)
 	j.rank.Short = now.Sub(b.shortAt[j.rank.Service]) < shortageTerm
 	if j.rank.LongRunning {
@@ -68,3 +68,12 @@
 	}
 	return false
 }
+
+// overFairShare is by how much the job's organisation exceeds its fair share, in
+// fair shares. Organisations within theirs count as equal, so that the value of
+// their jobs decides: with an order among them too, jobs of little value go before
+// others in all of them, and the worst-served organisation gets less.
+func (b *Board) overFairShare(j *job, now time.Time) float64 {
+	const fairShare = 1
+	return max(0, b.quotas.Order(j.account, now)-fairShare)
+}
