Large jobs get their share, and wide tasks keep a place

Cause: the value per unit of remaining work decides, so the largest jobs starved under overload; and a task that needed most of a worker was overtaken by small ones without end. Change: the largest tenth of a queue (a learned bound) goes first while its share of recent jobs is below 0.95 of that of the whole queue. A job that has waited for two mean run times, while smaller tasks start, gets a place: it goes first within its priority, and the free capacity of one worker is withheld from the others, for two mean run times (0.2 to 2 s) on a worker, on at most a sixteenth of the workers. Not covered: gangs get no place.

--- a/internal/process/rank/candidate.go
+++ b/internal/process/rank/candidate.go
@@ -31,6 +31,8 @@
 	// long it may still wait before it is hopeless.
 	Class  Class
 	Chance time.Duration
+	// Placed is set while a place is kept for the job.
+	Placed bool
 	// turn is set for the late job that goes before those on time.
 	turn bool
 	// Density is the job's value per unit of remaining work: under overload,
@@ -40,6 +42,23 @@
 	// they lack capacity.
 	Service string
 	Short   bool
+	// Queue, Arrived and Work are the job's queue, the time of its acceptance and
+	// its total work.
+	Queue   string
+	Arrived time.Time
+	Work    float64
+
+	// deficit is how far the groups of the job are behind their shares.
+	deficit float64
+	// tallies are the groups that the job counts in, large the one of the large
+	// jobs of its queue, nil if it is none of them. weight is its weight there.
+	tallies []*tally
+	large   *tally
+	weight  float64
+	// served is the part of the job's work that counts as served; missed is set
+	// once none does any more.
+	served float64
+	missed bool
 }
 
 // Compare orders candidates field by field: the lower one goes first.
@@ -55,10 +74,14 @@
 		return -trueFirst(a.Class == Hopeless)
 	case a.OrganisationShare != c.OrganisationShare:
 		return cmp.Compare(a.OrganisationShare, c.OrganisationShare)
+	case a.Placed != c.Placed:
+		return trueFirst(a.Placed)
 	case a.turn != c.turn:
 		return trueFirst(a.turn)
 	case a.Class != c.Class:
 		return cmp.Compare(a.Class, c.Class)
+	case a.deficit != c.deficit:
+		return cmp.Compare(c.deficit, a.deficit)
 	case a.Density != c.Density:
 		return cmp.Compare(c.Density, a.Density)
 	}
--- a/internal/process/rank/candidate_test.go
+++ b/internal/process/rank/candidate_test.go
@@ -59,6 +59,16 @@
 				Class:             Hopeless,
 			},
 		},
+		"place before turn": {
+			first: Candidate{
+				Class:  Late,
+				Placed: true,
+			},
+			second: Candidate{
+				Class: Late,
+				turn:  true,
+			},
+		},
 		"late job whose turn it is": {
 			first: Candidate{
 				Class: Late,
@@ -75,6 +85,15 @@
 				Density: 1,
 			},
 		},
+		"deficit before density": {
+			first: Candidate{
+				deficit: 0.2,
+			},
+			second: Candidate{
+				deficit: 0.1,
+				Density: 1,
+			},
+		},
 		"density before id": {
 			first: Candidate{
 				ID:      "b",
--- a/internal/process/rank/lateness_test.go
+++ b/internal/process/rank/lateness_test.go
@@ -49,7 +49,7 @@
 // value per remaining work, the jobs without a value come first.
 func TestHopelessJobsTakeNoCapacity(t *testing.T) {
 	met := func(rules Rules) float64 {
-		r := newReplay(rules, 4, 8)
+		r := newReplay(rules, 4)
 		for range 60 {
 			r.add(&replayJob{
 				arrived:   -20 * time.Second,
@@ -86,7 +86,7 @@
 		overload = 50 * time.Millisecond
 	)
 	replayed := func(rules Rules, interval time.Duration) (late, others float64) {
-		r := newReplay(rules, 4, 8)
+		r := newReplay(rules, 4)
 		for i := range 800 {
 			at := time.Duration(i) * interval
 			r.add(&replayJob{
--- a/internal/process/rank/order.go
+++ b/internal/process/rank/order.go
@@ -1,21 +1,21 @@
 package rank
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // Rules selects the rules that apply while capacity is short. Replays turn one
 // off to measure what it does.
 type Rules struct {
 	// Lateness serves hopeless jobs last and gives late ones a small share.
 	Lateness bool
+	// Sizes gives large jobs their share and wide tasks a place.
+	Sizes bool
 }
 
 // AllRules returns the rules in force.
 func AllRules() Rules {
 	return Rules{
 		Lateness: true,
+		Sizes:    true,
 	}
 }
 
@@ -24,6 +24,10 @@
 type Order struct {
 	rules Rules
 	turns map[group]*turns
+	epoch epoch
+	sizes map[string]*sizes
+	// started holds the recent starts by service.
+	started map[string]*started
 }
 
 // group is the candidates that compete with each other for the same workers.
@@ -35,8 +39,45 @@
 // NewOrder returns an order to which nothing has been served.
 func NewOrder(rules Rules) *Order {
 	return &Order{
-		rules: rules,
-		turns: map[group]*turns{},
+		rules:   rules,
+		turns:   map[group]*turns{},
+		sizes:   map[string]*sizes{},
+		started: map[string]*started{},
+	}
+}
+
+// Arrived counts a new job, which its candidate describes.
+func (o *Order) Arrived(c *Candidate) {
+	if c.LongRunning {
+		return
+	}
+	weight, factor := o.epoch.weight(c.Arrived)
+	if factor < 1 {
+		o.scale(factor)
+	}
+	queue := o.sizes[c.Queue]
+	if queue == nil {
+		queue = &sizes{}
+		o.sizes[c.Queue] = queue
+	}
+	c.weight = weight
+	c.tallies = append(c.tallies[:0], &queue.whole)
+	if queue.isLarge(c.Work) {
+		c.large = &queue.large
+		c.tallies = append(c.tallies, c.large)
+	}
+	for _, counted := range c.tallies {
+		counted.asked += weight
+	}
+}
+
+// scale multiplies all sums over earlier arrivals.
+func (o *Order) scale(factor float64) {
+	for _, queue := range o.sizes {
+		for _, counted := range []*tally{&queue.whole, &queue.large} {
+			counted.asked *= factor
+			counted.served *= factor
+		}
 	}
 }
 
@@ -44,18 +85,20 @@
 // candidates of services that lack capacity, and drops from the others what
 // only applies then.
 func (o *Order) Sort(candidates []*Candidate) {
+	for _, queue := range o.sizes {
+		queue.large.deficit = queue.large.behind(largePart, queue.whole.share())
+	}
 	next := map[group]*Candidate{}
 	for _, c := range candidates {
-		c.turn = false
-		switch {
-		case c.Class == Hopeless && (!c.Short || !o.rules.Lateness):
-			c.Class = Late
-		case c.Class == Late && c.Short && o.rules.Lateness:
-			key := c.group()
-			if first := next[key]; first == nil || c.before(first) {
-				next[key] = c
-			}
+		c.turn, c.deficit = false, 0
+		if c.Class != OnTime {
+			c.miss()
 		}
+		if !c.Short {
+			c.Class = min(c.Class, Late)
+			continue
+		}
+		o.adjust(c, next)
 	}
 	for key, c := range next {
 		served := o.turns[key]
@@ -64,6 +107,23 @@
 	slices.SortFunc(candidates, Compare)
 }
 
+// adjust applies the rules to a candidate whose service lacks capacity. next
+// holds the late candidate of each group whose turn comes first.
+func (o *Order) adjust(c *Candidate, next map[group]*Candidate) {
+	if o.rules.Sizes && c.large != nil {
+		c.deficit = c.large.deficit
+	}
+	switch {
+	case !o.rules.Lateness:
+		c.Class = min(c.Class, Late)
+	case c.Class == Late:
+		key := c.group()
+		if first := next[key]; first == nil || c.before(first) {
+			next[key] = c
+		}
+	}
+}
+
 // before reports whether a late candidate becomes hopeless before another one.
 func (c *Candidate) before(other *Candidate) bool {
 	if c.Chance != other.Chance {
@@ -72,25 +132,6 @@
 	return c.ID < other.ID
 }
 
-// Started counts work that is started for a candidate.
-func (o *Order) Started(c *Candidate, work float64, now time.Time) {
-	if c.LongRunning {
-		return
-	}
-	key := c.group()
-	served := o.turns[key]
-	if served == nil {
-		served = &turns{}
-		o.turns[key] = served
-	}
-	served.all.add(work, now)
-	if c.Class != OnTime {
-		served.late.add(work, now)
-	} else {
-		served.late.add(0, now)
-	}
-}
-
 func (c *Candidate) group() group {
 	return group{
 		service:  c.Service,
--- a/internal/process/rank/order_test.go
+++ b/internal/process/rank/order_test.go
@@ -48,13 +48,23 @@
 				Chance:   time.Duration(random.IntN(1000)) * time.Millisecond,
 				Density:  float64(random.IntN(5)),
 				Service:  "workshop",
+				Queue:    "plans",
+				Arrived:  now.Add(time.Duration(round) * time.Second),
+				Work:     float64(random.IntN(100)),
 			}
 			if random.IntN(4) == 0 {
 				c.LongRunning, c.Class = true, OnTime
 				c.Overdue = random.IntN(2) == 0
 			}
 			want = append(want, c)
-			order.Started(c, float64(random.IntN(10)), now.Add(time.Duration(round)*time.Second))
+			order.Arrived(c)
+			c.SetServed(random.Float64())
+			order.Started(c, Start{
+				Work:       float64(random.IntN(10)),
+				RunTime:    time.Second,
+				MilliCores: 1000,
+				At:         c.Arrived,
+			})
 		}
 		got := slices.Clone(want)
 		slices.SortFunc(want, earlierOrder)
--- a/internal/process/rank/replay_test.go
+++ b/internal/process/rank/replay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -25,12 +26,17 @@
 	waiting, left int
 	rank          Candidate
 	finished      time.Duration
+	place         Place
 }
 
 func (j *replayJob) work() float64 {
 	return float64(j.tasks*j.cores) * j.runTime.Seconds()
 }
 
+func (j *replayJob) milliCores() int64 {
+	return int64(j.cores) * 1000
+}
+
 type replayRun struct {
 	job    *replayJob
 	worker int
@@ -41,19 +47,22 @@
 type replay struct {
 	order *Order
 	free  []int
-	jobs  []*replayJob
-	open  []*replayJob
-	runs  []replayRun
-	short bool
-	mean  float64
+	// withheld is what places keep of the free cores for the rest of a decision.
+	withheld []int
+	jobs     []*replayJob
+	open     []*replayJob
+	runs     []replayRun
+	short    bool
+	mean     float64
 }
 
-func newReplay(rules Rules, workers, cores int) *replay {
+// newReplay returns a replay on workers of eight cores.
+func newReplay(rules Rules, workers int) *replay {
 	r := &replay{
 		order: NewOrder(rules),
 	}
 	for range workers {
-		r.free = append(r.free, cores)
+		r.free = append(r.free, 8)
 	}
 	return r
 }
@@ -72,6 +81,7 @@
 	for now := time.Duration(0); now < length; now += replayTick {
 		for ; next < len(r.jobs) && r.jobs[next].arrived <= now; next++ {
 			r.open = append(r.open, r.jobs[next])
+			r.arrive(r.jobs[next])
 		}
 		r.end(now)
 		r.place(now)
@@ -103,32 +113,72 @@
 	}
 	r.order.Sort(candidates)
 	r.short = false
+	r.withheld = make([]int, len(r.free))
+	places := r.order.Places(len(r.free))
 	for _, c := range candidates {
 		j := byRank[c]
 		for j.waiting > 0 && r.start(j, now) {
-			r.order.Started(c, j.work()/float64(j.tasks), at)
+			c.SetServed(1 - float64(j.waiting)/float64(j.tasks))
+			r.order.Started(c, Start{
+				Work:       j.work() / float64(j.tasks),
+				RunTime:    j.runTime,
+				MilliCores: j.milliCores(),
+				At:         at,
+			})
+		}
+		if j.waiting == 0 {
+			continue
+		}
+		r.short = true
+		c.Placed = places > 0 && r.order.Deserves(c, j.milliCores(), at)
+		if c.Placed {
+			places--
+			r.keepPlace(j, at)
 		}
-		r.short = r.short || j.waiting > 0
 	}
 }
 
-func (r *replay) rankJob(j *replayJob, now time.Duration) {
-	class, chance := Lateness(now-j.arrived, j.objective, j.runTime)
+// keepPlace withholds the free cores of a worker from the jobs ranked behind.
+func (r *replay) keepPlace(j *replayJob, at time.Time) {
+	if !j.place.Valid(at) {
+		best := -1
+		for w, free := range r.free {
+			if r.withheld[w] == 0 && (best < 0 || free > r.free[best]) {
+				best = w
+			}
+		}
+		if best < 0 {
+			return
+		}
+		j.place = r.order.KeepPlace(strconv.Itoa(best), &j.rank, at)
+	}
+	w, _ := strconv.Atoi(j.place.Worker)
+	r.withheld[w] += j.cores
+}
+
+func (r *replay) arrive(j *replayJob) {
 	j.rank = Candidate{
 		ID:       j.id,
 		Priority: j.priority,
-		Class:    class,
-		Chance:   chance,
-		Density:  Density(j.work(), r.mean, j.work()*float64(j.left)/float64(j.tasks)),
-		Short:    r.short,
+		Queue:    j.queue,
+		Arrived:  time.Unix(replayStart, 0).Add(j.arrived),
+		Work:     j.work(),
 	}
+	r.order.Arrived(&j.rank)
+}
+
+func (r *replay) rankJob(j *replayJob, now time.Duration) {
+	class, chance := Lateness(now-j.arrived, j.objective, j.runTime)
+	j.rank.Class, j.rank.Chance = class, chance
+	j.rank.Density = Density(j.work(), r.mean, j.work()*float64(j.left)/float64(j.tasks))
+	j.rank.Short = r.short
 }
 
 // start starts a task on the worker with the least free cores that fits.
 func (r *replay) start(j *replayJob, now time.Duration) bool {
 	best := -1
 	for w, free := range r.free {
-		if free >= j.cores && (best < 0 || free < r.free[best]) {
+		if free-r.withheld[w] >= j.cores && (best < 0 || free < r.free[best]) {
 			best = w
 		}
 	}
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -78,8 +78,10 @@
 	estimates        *estimates
 	// order ranks the waiting jobs, and shortAt is when each service last lacked
 	// capacity for a waiting task.
-	order        *rank.Order
-	shortAt      map[string]time.Time
+	order   *rank.Order
+	shortAt map[string]time.Time
+	// withheldOn are the workers with a place during a decision.
+	withheldOn   []*workerState
 	interference *interference
 	effects      Effects
 	// unrecordedStarts are starts of long-running tasks whose placements are not
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -121,6 +121,9 @@
 	w.headrooms = nil
 	w.claims[key] = held
 	w.used = w.used.Add(held.size)
+	if held.longRunning {
+		w.lasting = w.lasting.Add(held.size)
+	}
 	w.idle -= held.estimatedUse()
 	w.steps[stepOf(key)]++
 	w.suspicion += held.suspicion
@@ -136,6 +139,9 @@
 	w.headrooms = nil
 	delete(w.claims, key)
 	w.used = w.used.Sub(held.size)
+	if held.longRunning {
+		w.lasting = w.lasting.Sub(held.size)
+	}
 	w.idle += held.estimatedUse()
 	if w.steps[stepOf(key)]--; w.steps[stepOf(key)] == 0 {
 		delete(w.steps, stepOf(key))
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -146,6 +146,7 @@
 		t.located, j.hasLocated = true, true
 	}
 	b.addLastWorker(t, w, now)
+	j.updateServed()
 	j.progress.Started = true
 	return held
 }
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -110,6 +110,8 @@
 	// ageBounded is set if the job seemed older than the bound of ages when it
 	// was added.
 	ageBounded bool
+	// place is kept for the job's tasks while they fit nowhere.
+	place rank.Place
 	// priority is the queue's priority; 0 goes first.
 	priority int
 
@@ -137,6 +139,8 @@
 		rank: rank.Candidate{
 			ID:          spec.ID,
 			LongRunning: spec.LongRunning(),
+			Queue:       spec.Queue,
+			Arrived:     now.Add(-age),
 		},
 	}
 	if inherited {
@@ -153,13 +157,16 @@
 		j.restore(progress)
 	}
 	j.objective = b.objective(j)
-	b.estimates.recordWork(spec.Queue, b.totalWork(j))
+	j.rank.Work = b.totalWork(j)
+	b.estimates.recordWork(spec.Queue, j.rank.Work)
 	b.jobs[spec.ID] = j
 	if j.progress.State.Final() {
 		j.ended = now
 		return
 	}
 	b.open[spec.ID] = j
+	b.order.Arrived(&j.rank)
+	j.updateServed()
 	if b.cancelled[spec.ID] {
 		b.Cancel(spec.ID, now)
 	}
--- a/internal/process/schedule/lateness_test.go
+++ b/internal/process/schedule/lateness_test.go
@@ -23,7 +23,7 @@
 // before larger ones that can still finish.
 func TestHopelessJobsGoLastOnABoard(t *testing.T) {
 	met := func(rules rank.Rules) float64 {
-		r := newBoardReplay(rules, 4)
+		r := newBoardReplay(rules)
 		for range 100 {
 			r.add(0, 20*time.Second, shortStep(8))
 		}
@@ -42,7 +42,7 @@
 // served, and a late job would wait for ever.
 func TestLateJobIsNotOvertakenForEverOnABoard(t *testing.T) {
 	late := func(rules rank.Rules) float64 {
-		r := newBoardReplay(rules, 4)
+		r := newBoardReplay(rules)
 		isLate := map[*replayJob]bool{}
 		for i := range 320 {
 			at := time.Duration(i) * 62500 * time.Microsecond
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -29,11 +29,14 @@
 		}
 		if shortages[key.service] == nil {
 			shortages[key.service] = newShortage()
+			shortages[key.service].places = b.order.Places(len(pools[key]))
+			shortages[key.service].searches = searchesPerDecision
 		}
 		if len(pools[key]) > 0 {
 			b.placeJob(j, pools[key], shortages[key.service], now)
 		}
 	}
+	b.endPlaces()
 	for service, found := range shortages {
 		if found.lacking {
 			b.shortAt[service] = now
@@ -95,6 +98,7 @@
 func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, shortages *shortage, now time.Time) {
 	urgent := b.urgent(j) && !step.spec.Filler
 	if !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID) {
+		b.keepPlace(j, step, pool, shortages, now)
 		return
 	}
 	for _, t := range step.tasks {
@@ -107,14 +111,17 @@
 		w := b.chooseWorker(step, t, pool)
 		switch {
 		case w != nil:
-			b.order.Started(&j.rank, b.taskWork(j, step.spec), now)
 			b.start(w, j, step, t, b.nextRun(), now)
 		case urgent:
 			shortages.lacking = true
 			b.reserve(j, step, t, pool, now)
+			if _, ok := b.reservations[t.key]; !ok {
+				b.keepPlace(j, step, pool, shortages, now)
+			}
 		default:
 			shortages.lacking = true
 			shortages.record(step.spec, t)
+			b.keepPlace(j, step, pool, shortages, now)
 			return
 		}
 	}
--- a/internal/process/schedule/placements.go
+++ b/internal/process/schedule/placements.go
@@ -17,6 +17,7 @@
 	t := step.tasks[start.Key.Index]
 	t.located, j.hasLocated = true, true
 	b.addLastWorker(t, b.workers[start.Worker], now)
+	b.recordStart(j, step, now)
 	if step.spec.LongRunning {
 		b.markChanged(j)
 		j.placed = j.version
--- a/internal/process/schedule/preempt.go
+++ b/internal/process/schedule/preempt.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// free is the capacity that is neither claimed nor reserved.
+// free is the capacity that is neither claimed nor reserved nor withheld.
 func (w *workerState) free() worker.Size {
-	return w.Capacity.Sub(w.used).Sub(w.reserved)
+	return w.Capacity.Sub(w.used).Sub(w.reserved).Sub(w.withheld)
 }
--- a/internal/process/schedule/rank.go
+++ b/internal/process/schedule/rank.go
@@ -49,6 +49,34 @@
 // few decisions of a slow leader, and the longest time between two reports.
 const shortageTerm = time.Second
 
+// recordStart records the start of a task of a waiting job.
+func (b *Board) recordStart(j *job, step *stepState, now time.Time) {
+	j.rank.Placed = false
+	j.updateServed()
+	b.order.Started(&j.rank, rank.Start{
+		Work:       b.taskWork(j, step.spec),
+		RunTime:    b.estimates.runTime(j.work.Queue, step.spec),
+		MilliCores: reservedSize(step.spec).MilliCores,
+		At:         now,
+	})
+}
+
+// updateServed brings the part of the job up to date that is running or done.
+func (j *job) updateServed() {
+	all, waiting := 0.0, 0.0
+	for _, occ := range j.occurrences {
+		for _, step := range occ.steps {
+			// The estimates of a queue have the same error.
+			each := step.spec.Estimate.Seconds() * float64(max(1, step.spec.Size.MilliCores))
+			all += each * float64(step.spec.Count)
+			waiting += each * float64(step.waiting)
+		}
+	}
+	if all > 0 {
+		j.rank.SetServed(1 - waiting/all)
+	}
+}
+
 // overdue reports whether a long-running task of the job has been down for too
 // long.
 func (j *job) overdue(now time.Time) bool {
--- a/internal/process/schedule/replay_test.go
+++ b/internal/process/schedule/replay_test.go
@@ -37,13 +37,14 @@
 	ended map[string][]EndedTask
 }
 
-func newBoardReplay(rules rank.Rules, workers int) *boardReplay {
+// newBoardReplay returns a replay on four workers of eight cores.
+func newBoardReplay(rules rank.Rules) *boardReplay {
 	r := &boardReplay{
 		byID:  map[string]*replayJob{},
 		runs:  map[string][]replayRun{},
 		ended: map[string][]EndedTask{},
 	}
-	for i := range workers {
+	for i := range 4 {
 		r.ids = append(r.ids, fmt.Sprintf("w%02d", i))
 	}
 	r.board = testBoard(r.ids...)
--- a/internal/process/schedule/shortage.go
+++ b/internal/process/schedule/shortage.go
@@ -15,6 +15,10 @@
 	fillers map[string]int64
 	// lacking is set once a task did not fit.
 	lacking bool
+	// places is how many more workers may keep a place in this decision.
+	places int
+	// searches is how many more searches for a place it may make.
+	searches int
 }
 
 func newShortage() *shortage {
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -70,6 +70,10 @@
 	blockedUntil time.Time
 	// reserved is the capacity kept for tasks that others are preempted for.
 	reserved worker.Size
+	// withheld is the free capacity that a place keeps for the job withheldFor
+	// during a decision. lasting is what long-running tasks claim.
+	withheld, lasting worker.Size
+	withheldFor       *job
 	// drainingSince is when it was first known to drain. closed is set if it
 	// has closed a connection since its last report.
 	drainingSince time.Time
