Entry zones get shares by demand under shortage

Cause: jobs did not count by the zone of their caller, so that the callers of one zone, with larger jobs or more of them, were served far worst. Change: per service, priority and entry zone the order keeps what recent jobs asked for and what was started of them before they were late, with weights that fall by a factor of e in 20 s. Under shortage the jobs of a zone whose share is below 0.95 of that of the others go first among those on time. Jobs without a zone form a group of their own. Ruled out: strict turns between zones, which would undo the order by value within each.

--- a/internal/process/rank/candidate.go
+++ b/internal/process/rank/candidate.go
@@ -43,18 +43,20 @@
 	Service string
 	Short   bool
 	// Queue, Arrived and Work are the job's queue, the time of its acceptance and
-	// its total work.
+	// its total work. Zone is the entry zone of its caller, empty if it is unknown.
 	Queue   string
+	Zone    string
 	Arrived time.Time
 	Work    float64
 
 	// deficit is how far the groups of the job are behind their shares.
 	deficit float64
-	// tallies are the groups that the job counts in, large the one of the large
-	// jobs of its queue, nil if it is none of them. weight is its weight there.
-	tallies []*tally
-	large   *tally
-	weight  float64
+	// tallies are the groups that the job counts in: zone is the one of its entry
+	// zone, large the one of the large jobs of its queue, nil if it is none of
+	// them. weight is its weight there.
+	tallies     []*tally
+	zone, large *tally
+	weight      float64
 	// served is the part of the job's work that counts as served; missed is set
 	// once none does any more.
 	served float64
--- a/internal/process/rank/order.go
+++ b/internal/process/rank/order.go
@@ -9,6 +9,8 @@
 	Lateness bool
 	// Sizes gives large jobs their share and wide tasks a place.
 	Sizes bool
+	// Zones gives the entry zones shares by demand.
+	Zones bool
 }
 
 // AllRules returns the rules in force.
@@ -16,6 +18,7 @@
 	return Rules{
 		Lateness: true,
 		Sizes:    true,
+		Zones:    true,
 	}
 }
 
@@ -26,6 +29,7 @@
 	turns map[group]*turns
 	epoch epoch
 	sizes map[string]*sizes
+	zones map[zone]*tally
 	// started holds the recent starts by service.
 	started map[string]*started
 }
@@ -42,6 +46,7 @@
 		rules:   rules,
 		turns:   map[group]*turns{},
 		sizes:   map[string]*sizes{},
+		zones:   map[zone]*tally{},
 		started: map[string]*started{},
 	}
 }
@@ -61,7 +66,8 @@
 		o.sizes[c.Queue] = queue
 	}
 	c.weight = weight
-	c.tallies = append(c.tallies[:0], &queue.whole)
+	c.zone = o.zoneTally(c)
+	c.tallies = append(c.tallies[:0], &queue.whole, c.zone)
 	if queue.isLarge(c.Work) {
 		c.large = &queue.large
 		c.tallies = append(c.tallies, c.large)
@@ -74,10 +80,11 @@
 // scale multiplies all sums over earlier arrivals.
 func (o *Order) scale(factor float64) {
 	for _, queue := range o.sizes {
-		for _, counted := range []*tally{&queue.whole, &queue.large} {
-			counted.asked *= factor
-			counted.served *= factor
-		}
+		queue.whole.scale(factor)
+		queue.large.scale(factor)
+	}
+	for _, counted := range o.zones {
+		counted.scale(factor)
 	}
 }
 
@@ -88,6 +95,7 @@
 	for _, queue := range o.sizes {
 		queue.large.deficit = queue.large.behind(largePart, queue.whole.share())
 	}
+	o.compareZones()
 	next := map[group]*Candidate{}
 	for _, c := range candidates {
 		c.turn, c.deficit = false, 0
@@ -113,6 +121,9 @@
 	if o.rules.Sizes && c.large != nil {
 		c.deficit = c.large.deficit
 	}
+	if o.rules.Zones && c.zone != nil {
+		c.deficit += c.zone.deficit
+	}
 	switch {
 	case !o.rules.Lateness:
 		c.Class = min(c.Class, Late)
--- a/internal/process/rank/order_test.go
+++ b/internal/process/rank/order_test.go
@@ -49,6 +49,7 @@
 				Density:  float64(random.IntN(5)),
 				Service:  "workshop",
 				Queue:    "plans",
+				Zone:     fmt.Sprint(random.IntN(3)),
 				Arrived:  now.Add(time.Duration(round) * time.Second),
 				Work:     float64(random.IntN(100)),
 			}
--- a/internal/process/rank/shares.go
+++ b/internal/process/rank/shares.go
@@ -22,6 +22,11 @@
 	return t.served / t.asked
 }
 
+func (t *tally) scale(factor float64) {
+	t.asked *= factor
+	t.served *= factor
+}
+
 // behind returns how far the tally's share is below a part of another share.
 func (t *tally) behind(part, other float64) float64 {
 	if other <= 0 {
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -140,6 +140,7 @@
 			ID:          spec.ID,
 			LongRunning: spec.LongRunning(),
 			Queue:       spec.Queue,
+			Zone:        spec.EntryZone,
 			Arrived:     now.Add(-age),
 		},
 	}
@@ -165,6 +166,7 @@
 		return
 	}
 	b.open[spec.ID] = j
+	j.rank.Service = b.serviceOf(j)
 	b.order.Arrived(&j.rank)
 	j.updateServed()
 	if b.cancelled[spec.ID] {
