Workers are sorted once per decision

Cause: each pool of a service, for long-running and for other tasks, sorted its workers. Change: one sorted list per decision, from which the pools are selected. Ruled out: keeping the sorted list between decisions, which every change of the list would have to invalidate.

--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -14,8 +14,12 @@
 	candidates := b.ranked(func(j *job) bool {
 		return j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated)
 	}, now)
+	if len(candidates) == 0 {
+		return
+	}
 	shortages := map[string]*shortage{}
 	pools := map[poolKey][]*workerState{}
+	workers := b.sortedWorkers()
 	for _, j := range candidates {
 		if b.startsLeft <= 0 {
 			break
@@ -25,7 +29,7 @@
 			longRunning: j.rank.LongRunning,
 		}
 		if _, ok := pools[key]; !ok {
-			pools[key] = b.pool(key, now)
+			pools[key] = b.pool(key, workers, now)
 		}
 		if shortages[key.service] == nil {
 			shortages[key.service] = newShortage()
@@ -50,17 +54,26 @@
 	longRunning bool
 }
 
-// pool returns the workers that may be given tasks now, by id. Long-running
-// tasks may also use workers that are excluded after failures, as their last
-// choice: failures of a long-running task do not end its job.
-func (b *Board) pool(key poolKey, now time.Time) []*workerState {
-	var out []*workerState
+// sortedWorkers returns all workers by id.
+func (b *Board) sortedWorkers() []*workerState {
+	out := make([]*workerState, 0, len(b.workers))
 	for _, w := range b.workers {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, c *workerState) int { return cmp.Compare(a.ID, c.ID) })
+	return out
+}
+
+// pool returns those of the sorted workers that may be given tasks now.
+// Long-running tasks may also use workers that are excluded after failures, as
+// their last choice: failures of a long-running task do not end its job.
+func (b *Board) pool(key poolKey, sorted []*workerState, now time.Time) []*workerState {
+	out := make([]*workerState, 0, len(sorted))
+	for _, w := range sorted {
 		if w.Service == key.service && b.usable(w, now) && (key.longRunning || w.health.trusted(now)) {
 			out = append(out, w)
 		}
 	}
-	slices.SortFunc(out, func(a, c *workerState) int { return cmp.Compare(a.ID, c.ID) })
 	return out
 }
 
