The summary says how long tasks wait, by size and reason

Cause: the schedule line showed how many tasks wait, not how long nor why, so that a lack of capacity looked like a takeover or a missing ticket. Change: Summary has the waits by size class (part of the largest worker's cores) and reason (capacity, quota, ticket, takeover, place), the late and hopeless jobs and the places kept. A job's overQuota is for the quotas, which set it. Ruled out: one histogram for each job or zone, which would grow without bound.

--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -110,6 +110,8 @@
 	// ageBounded is set if the job seemed older than the bound of ages when it
 	// was added.
 	ageBounded bool
+	// overQuota is set while the limit of the job's organisation delays it.
+	overQuota bool
 	// place is kept for the job's tasks while they fit nowhere.
 	place rank.Place
 	// priority is the queue's priority; 0 goes first.
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"mustardreach.example/mustardreach/internal/process/rank"
+)
 
 // Summary counts the jobs, runs and capacity of the schedule.
 type Summary struct {
@@ -17,6 +21,12 @@
 	Delayed int
 	// Throttled is the number of throttled fillers.
 	Throttled int
+	// Late and Hopeless count the waiting jobs of these classes, Places those
+	// that a place is kept for.
+	Late, Hopeless, Places int
+	// Waits says how long the waiting tasks have waited, since their step was
+	// ready.
+	Waits Waits
 	// MemoryShare is the claimed part of the memory.
 	MemoryShare float64
 }
@@ -26,17 +36,27 @@
 	out := Summary{
 		Open: len(b.open),
 	}
+	largest := b.largestWorker()
 	for _, j := range b.open {
+		out.countClass(j)
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
 				if !occ.ready(step, now) {
 					continue
 				}
+				if step.waiting == 0 {
+					continue
+				}
+				delayed := b.delayed(j, step, now)
 				out.Waiting += step.waiting
-				out.Delayed += b.delayed(j, step, now)
+				out.Delayed += delayed
+				size, waited := waitSize(step.spec.Size.MilliCores, largest), now.Sub(j.readySince(occ, step))
+				out.Waits = out.Waits.add(WaitTakeover, size, delayed, waited)
+				out.Waits = out.Waits.add(b.waitReason(j, step, now), size, step.waiting-delayed, waited)
 			}
 		}
 	}
+	out.Waits.sort()
 	memory, allocated := int64(0), int64(0)
 	for _, w := range b.workers {
 		for _, held := range w.claims {
@@ -64,3 +84,20 @@
 	out.MemoryShare = ratio(allocated, memory)
 	return out
 }
+
+// countClass counts a waiting job by its class at the last decision.
+func (s *Summary) countClass(j *job) {
+	if j.left == j.claims {
+		return
+	}
+	switch j.rank.Class {
+	case rank.OnTime:
+	case rank.Late:
+		s.Late++
+	case rank.Hopeless:
+		s.Hopeless++
+	}
+	if j.rank.Placed {
+		s.Places++
+	}
+}
