Hopeless jobs go behind all priorities and preempt nothing

Cause: a job of the highest priority without a value left still went before batch work, and batch tasks were stopped for it. A repeated job, whose age counts from its acceptance, seemed hopeless for all of its later occurrences, and so did a job whose queue was removed. Change: under shortage, hopeless jobs go after all other jobs of the service and preempt none. The chance of a repeated job counts from the first occurrence that is not done; a job without an objective is never hopeless. Ruled out: letting the class of repeated jobs rise to on time, which would change the order without a shortage.

--- a/internal/process/rank/candidate.go
+++ b/internal/process/rank/candidate.go
@@ -68,12 +68,12 @@
 	switch {
 	case a.Overdue != c.Overdue:
 		return trueFirst(a.Overdue)
+	case (a.Class == Hopeless) != (c.Class == Hopeless):
+		return -trueFirst(a.Class == Hopeless)
 	case a.Priority != c.Priority:
 		return cmp.Compare(a.Priority, c.Priority)
 	case a.LongRunning != c.LongRunning:
 		return -trueFirst(a.LongRunning)
-	case (a.Class == Hopeless) != (c.Class == Hopeless):
-		return -trueFirst(a.Class == Hopeless)
 	case a.OrganisationShare != c.OrganisationShare:
 		return cmp.Compare(a.OrganisationShare, c.OrganisationShare)
 	case a.Placed != c.Placed:
--- a/internal/process/rank/candidate_test.go
+++ b/internal/process/rank/candidate_test.go
@@ -50,13 +50,14 @@
 				OrganisationShare: 1,
 			},
 		},
-		"hopeless after all organisations": {
+		"hopeless after all priorities": {
 			first: Candidate{
-				OrganisationShare: 1,
+				Priority:    2,
+				LongRunning: true,
 			},
 			second: Candidate{
-				OrganisationShare: 0.5,
-				Class:             Hopeless,
+				Class:   Hopeless,
+				Density: 1,
 			},
 		},
 		"place before turn": {
--- a/internal/process/rank/lateness.go
+++ b/internal/process/rank/lateness.go
@@ -21,13 +21,14 @@
 
 // Lateness returns the class of a job and how long it may still wait before it
 // is hopeless, given the time since its acceptance, the time from there to its
-// objective, and its remaining critical path.
+// objective, and its remaining critical path. A job without an objective, such as
+// one whose queue was removed, is late and never hopeless.
 func Lateness(age, objective, remaining time.Duration) (Class, time.Duration) {
 	chance := lastChance*objective - age - remaining
 	switch {
 	case age+remaining <= objective:
 		return OnTime, chance
-	case chance >= 0:
+	case chance >= 0 || objective <= 0:
 		return Late, chance
 	}
 	return Hopeless, chance
--- a/internal/process/rank/lateness_test.go
+++ b/internal/process/rank/lateness_test.go
@@ -10,6 +10,7 @@
 func TestLateness(t *testing.T) {
 	tests := map[string]struct {
 		age    time.Duration
+		none   bool
 		want   Class
 		chance time.Duration
 	}{
@@ -34,10 +35,19 @@
 			want:   Hopeless,
 			chance: -time.Second,
 		},
+		"no objective": {
+			none:   true,
+			want:   Late,
+			chance: -2 * time.Second,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			class, chance := Lateness(tt.age, 10*time.Second, 2*time.Second)
+			objective := 10 * time.Second
+			if tt.none {
+				objective = 0
+			}
+			class, chance := Lateness(tt.age, objective, 2*time.Second)
 			assert.Equal(t, tt.want, class)
 			assert.Equal(t, tt.chance, chance)
 		})
--- a/internal/process/schedule/lateness_test.go
+++ b/internal/process/schedule/lateness_test.go
@@ -88,3 +88,59 @@
 		})
 	}
 }
+
+// A repeated job is accepted once, long before most of its occurrences are due:
+// each of them has its own chance.
+func TestLaterOccurrenceIsNotHopeless(t *testing.T) {
+	board := testBoard("w0")
+	spec := testJob("a", "plans", shortStep(1))
+	spec.Repeat, spec.FirstRun, spec.Interval = 2, testStart, time.Minute
+	board.AddJob(spec, nil, false, testStart, testStart)
+	j := board.open["a"]
+	j.occurrences[0].left = 0
+	tests := map[string]struct {
+		at   time.Duration
+		want rank.Class
+	}{
+		"when it is due": {
+			at:   time.Minute,
+			want: rank.Late,
+		},
+		"after three objectives": {
+			at:   time.Minute + 6*time.Second + time.Millisecond,
+			want: rank.Hopeless,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			j.classify(testStart.Add(tt.at))
+			assert.Equal(t, tt.want, j.rank.Class)
+		})
+	}
+}
+
+// Batch work must not be stopped for a quick job that is worth nothing any more.
+func TestHopelessJobPreemptsNothing(t *testing.T) {
+	tests := map[string]struct {
+		age  time.Duration
+		want int
+	}{
+		"on time": {
+			want: 1,
+		},
+		"hopeless": {
+			age: 20 * time.Second,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			board.AddJob(testJob("a", "plans", tasks(1, 8000)), nil, false, testStart, testStart)
+			accept(board, board.Decide(testStart, true), testStart)
+			poll(board, "w0", testStart)
+			board.shortAt["workshop"] = testStart
+			board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, false, testStart, testStart.Add(tt.age))
+			assert.Len(t, board.Decide(testStart, true).Stops, tt.want)
+		})
+	}
+}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/process/rank"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -109,7 +110,7 @@
 }
 
 func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, shortages *shortage, now time.Time) {
-	urgent := b.urgent(j) && !step.spec.Filler
+	urgent := b.urgent(j) && !step.spec.Filler && j.rank.Class != rank.Hopeless
 	if !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID) {
 		b.keepPlace(j, step, pool, shortages, now)
 		return
--- a/internal/process/schedule/rank.go
+++ b/internal/process/schedule/rank.go
@@ -37,12 +37,35 @@
 		j.rank.Overdue = j.overdue(now)
 		return
 	}
-	j.rank.Class, j.rank.Chance = rank.Lateness(now.Sub(j.arrived), j.objective.Sub(j.arrived), j.remaining)
-	if j.rank.Class == rank.Hopeless && j.ageBounded {
+	j.classify(now)
+}
+
+// classify sets the class of a job that is not long-running.
+func (j *job) classify(now time.Time) {
+	objective := j.objective.Sub(j.arrived)
+	j.rank.Class, j.rank.Chance = rank.Lateness(now.Sub(j.arrived), objective, j.remaining)
+	if j.rank.Class == rank.OnTime {
+		return
+	}
+	switch {
+	case j.work.Timed():
+		// A later occurrence has its own chance.
+		j.rank.Class, j.rank.Chance = rank.Lateness(now.Sub(j.firstDue()), objective, j.remaining)
+	case j.rank.Class == rank.Hopeless && j.ageBounded:
 		// The age may be that of a wall clock that has jumped.
-		sinceObjective := now.Sub(j.seen)
-		j.rank.Class, j.rank.Chance = rank.Lateness(sinceObjective+j.objective.Sub(j.arrived), j.objective.Sub(j.arrived), j.remaining)
+		j.rank.Class, j.rank.Chance = rank.Lateness(now.Sub(j.seen)+objective, objective, j.remaining)
+	}
+	j.rank.Class = max(j.rank.Class, rank.Late)
+}
+
+// firstDue returns the due time of the first occurrence that is not done.
+func (j *job) firstDue() time.Time {
+	for _, occ := range j.occurrences {
+		if occ.left > 0 {
+			return occ.due
+		}
 	}
+	return j.arrived
 }
 
 // shortageTerm is how long a service lacks capacity after a task did not fit: a
