--- a/internal/process/schedule/bench_test.go
+++ b/internal/process/schedule/bench_test.go
@@ -85,6 +85,35 @@
 	}
 }
 
+// BenchmarkDecideMixedFleet decides for a large fleet with jobs of many sizes from
+// several zones, most of which have missed their objective.
+func BenchmarkDecideMixedFleet(b *testing.B) {
+	board := overloadedBoard(1100, 1200)
+	for i := range 400 {
+		step := work.Step{
+			Count: 12,
+			Size: worker.Size{
+				MilliCores:  int64(500 * (1 + i%15)),
+				MemoryBytes: 1 << 20,
+			},
+			Estimate: time.Second,
+		}
+		spec := testJob(fmt.Sprintf("m%015d", i), "plans", step)
+		spec.EntryZone = fmt.Sprintf("zone%d", i%4)
+		board.AddJob(spec, nil, false, testStart, testStart)
+	}
+	now := testStart.Add(4 * time.Second)
+	for id := range board.workers {
+		poll(board, id, now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		board.LimitStarts(64)
+		board.Decide(now, true)
+	}
+}
+
 // BenchmarkApplyReport applies one worker's report to an overloaded board.
 func BenchmarkApplyReport(b *testing.B) {
 	board := crowdedBoard()
