Smaller shares for late and large jobs

Change: late jobs get 2 percent of the started work instead of 4, and large jobs go first below 0.9 of the share of their queue instead of 0.95. The load of the zones' test on a board has larger jobs in its third zone: with the new shares, the old load no longer showed the fault without the rule (0.706 where below 0.704 was asked for); the bound is unchanged.

--- a/internal/process/rank/lateness.go
+++ b/internal/process/rank/lateness.go
@@ -35,10 +35,9 @@
 }
 
 // lateShare is the part of the started work that goes to late jobs while jobs
-// wait that are on time. A late job is worth a small part of its value: without a
-// share it would wait for ever. All tasks of a job start in one turn, so 0.05
-// took more than a twentieth of the others' share in the replay.
-const lateShare = 0.04
+// wait that are on time. Without it a late job would wait for ever. The replays
+// lost 1.9 percent of all value with 0.04 at 1.1 times the capacity.
+const lateShare = 0.02
 
 // turns divides the starts of one group of candidates between jobs on time and
 // late ones.
--- a/internal/process/rank/sizes.go
+++ b/internal/process/rank/sizes.go
@@ -9,9 +9,10 @@
 	// of new ones: it changes by a factor of e over some ten large jobs.
 	quantileRate = 0.1
 	// largePart is the part of the share of their whole queue below which large
-	// jobs go first. The target is 0.7; with 0.85, large jobs that are started
-	// and finish late bring them below it at twice the capacity.
-	largePart = 0.95
+	// jobs go first. The target is 0.7. Some large jobs are started and finish
+	// late: the replays give 0.73 to 0.82 with 0.9, and lose a twentieth of all
+	// value with 0.95.
+	largePart = 0.9
 )
 
 // sizes divides the jobs of a queue into large ones and others.
--- a/internal/process/schedule/zones_test.go
+++ b/internal/process/schedule/zones_test.go
@@ -28,8 +28,8 @@
 			replayed := func(rules rank.Rules) (worst, others float64) {
 				r := newBoardReplay(rules)
 				random := rand.New(rand.NewPCG(3, 5))
-				means := []float64{6, 6, 16}
-				interval := (6 + 6 + 16) / 3.0 * 0.5 / (32 * load) * float64(time.Second)
+				means := []float64{6, 6, 24}
+				interval := (6 + 6 + 24) / 3.0 * 0.5 / (32 * load) * float64(time.Second)
 				for at := time.Duration(0); at < length; at += time.Duration(random.ExpFloat64() * interval) {
 					zone := random.IntN(3)
 					j := r.addFrom(zones[zone], at, shortStep(1+int(random.ExpFloat64()*(means[zone]-1))))
