Longer load for the share of large jobs on a board

Cause: a minute has 58 large jobs, so that the replay measures their share to some 0.06. Change: the load lasts four minutes; the bound is unchanged.

--- a/internal/process/schedule/places_test.go
+++ b/internal/process/schedule/places_test.go
@@ -21,7 +21,7 @@
 	const (
 		meanTasks = 10.0
 		interval  = float64(time.Second) * meanTasks * 0.5 / (32 * 1.5)
-		length    = 60 * time.Second
+		length    = 240 * time.Second
 	)
 	replayed := func(rules rank.Rules) (largest, whole float64) {
 		r := newBoardReplay(rules)
