Only long-running steps that may be preempted are packed

Cause: packing took effect on every deployment with quick jobs, also where no step may be preempted. It places serving tasks by best fit, without their spread and the affinity of their images, so that fillers beside them are throttled more. Change: packs() asks for a stated limit and a known notice period, as preemption does. The new case of the packing test failed before.

--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -23,7 +23,7 @@
 	var best *workerState
 	var bestScore float64
 	piece := int64(0)
-	if step.spec.LongRunning && len(pool) > 0 {
+	if b.packs(step) && len(pool) > 0 {
 		piece = b.pieceOf(pool[0].Service)
 	}
 	for _, w := range pool {
--- a/internal/process/schedule/packing.go
+++ b/internal/process/schedule/packing.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// packs reports whether the placement of a step may leave pieces for quick tasks.
+// It gives up the spread of serving tasks and their affinity, at the cost of the
+// fillers beside them, so it applies only to steps that may be preempted.
+func (b *Board) packs(step *stepState) bool {
+	return step.spec.LongRunning && step.spec.MaxUnavailable > 0 && b.config.Notice > 0
+}
+
 // pieceOf returns the size of the pieces that placements on a service's workers
 // should leave. It is zero if there is no demand for them, or if there are enough.
 func (b *Board) pieceOf(service string) int64 {
--- a/internal/process/schedule/packing_test.go
+++ b/internal/process/schedule/packing_test.go
@@ -16,6 +16,8 @@
 		queue string
 		jobs  int
 		cores int64
+		// fixed is set if the step states no limit of unavailable members.
+		fixed bool
 		// packed is set if the task goes to the worker with less free capacity.
 		packed bool
 	}{
@@ -25,6 +27,14 @@
 			cores:  6000,
 			packed: true,
 		},
+		// Such placements lower what fillers beside serving tasks get, without a
+		// preemption that would make up for it.
+		"step that may not be preempted": {
+			queue: "quotes",
+			jobs:  20,
+			cores: 6000,
+			fixed: true,
+		},
 		"quick tasks of a lower priority": {
 			queue: "plans",
 			jobs:  20,
@@ -40,6 +50,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			board := testBoard("w0", "w1")
+			board.config.Notice = replayNotice
 			now := testStart
 			blocker := testJob("blocker", "quotes", tasks(1, 4000))
 			blocker.Steps[0].LongRunning = true
@@ -57,6 +68,9 @@
 			now = now.Add(scanInterval)
 			serving := testJob("serving", "quotes", tasks(1, 2000))
 			serving.Steps[0].LongRunning, serving.Steps[0].TailTarget = true, time.Second
+			if !tt.fixed {
+				serving.Steps[0].MaxUnavailable = 1
+			}
 			board.AddJob(serving, nil, false, now, now)
 			effects = decideAndSave(board, now)
 			require.Len(t, effects.Starts, 1)
