review: case 1, an accepted job that never runs after a runner was cut off

A start gets no answer, its repetition cannot be sent, and the stop after that cannot be sent either: nobody sends anything more for the task, and no report of the runner frees it.

--- /dev/null
+++ b/review/cases/lapse.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+func init() {
+	cases["lapse"] = namedCase{
+		play: lapse,
+		plans: func(string, string) plan {
+			return plan{
+				size: size{
+					CPU:   6400,
+					MemMB: 13000,
+				},
+				duration: time.Hour,
+				ending:   "done",
+			}
+		},
+	}
+}
+
+// Spans of the rule on tasks that last: a task is looked at from sinceLastRun
+// after its last run, and must run within idleLimit in calm that has lasted for
+// calmBefore.
+const (
+	sinceLastRun = 6 * time.Second
+	idleLimit    = 3 * time.Second
+	calmBefore   = 4 * time.Second
+)
+
+// lapse plays an outage of the store in which the leases run out, while one of
+// seven runners crashes for good.
+func lapse(s *site, trouble bool) ([]string, error) {
+	const runners, tasks = 7, 14
+	if err := smallSite(s, runners); err != nil {
+		return nil, err
+	}
+	time.Sleep(3 * time.Second)
+	id := newID()
+	if err := s.submit(id, "stock reconciliation", []map[string]any{
+		{"count": tasks, "cpu": 6400, "mem_mb": 13000, "estimate_ms": 320, "persistent": true, "max_per_server": 2},
+	}); err != nil {
+		return nil, err
+	}
+	names := []string{}
+	for index := range tasks {
+		names = append(names, fmt.Sprintf("%s.0.0.%d", id, index))
+	}
+	if missing := s.awaitRunning(names, 20*time.Second); missing != "" {
+		return nil, fmt.Errorf("task %s does not start", missing)
+	}
+	s.record.say("all %d tasks run", tasks)
+	breaks := &idleTasks{
+		site:  s,
+		names: names,
+	}
+	breaks.begin()
+	time.Sleep(8 * time.Second) // their runs have lasted for longer than a lease
+	for round := range 2 {
+		if trouble {
+			breaks.disturb(true)
+			s.record.say("the store is down, its leases run out")
+			s.store.setDown(true, true)
+			time.Sleep(800 * time.Millisecond)
+			s.runners[round].crash()
+			time.Sleep(3700 * time.Millisecond)
+			s.store.setDown(false, false)
+			s.record.say("the store is back")
+			breaks.disturb(false)
+		}
+		time.Sleep(18 * time.Second)
+	}
+	return breaks.end(), nil
+}
+
+// awaitRunning waits until all tasks run, and returns one that does not.
+func (s *site) awaitRunning(names []string, limit time.Duration) string {
+	end := time.Now().Add(limit)
+	for {
+		missing := ""
+		for _, name := range names {
+			if s.judge.runnerOf(name) == nil {
+				missing = name
+			}
+		}
+		if missing == "" || time.Now().After(end) {
+			return missing
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// idleTasks notes the tasks that last and do not run for longer than the rule
+// allows.
+type idleTasks struct {
+	site  *site
+	names []string
+
+	mu        sync.Mutex
+	disturbed bool
+	calmSince time.Time
+	broken    map[string]string
+	stop      chan struct{}
+}
+
+func (t *idleTasks) begin() {
+	t.calmSince, t.broken, t.stop = time.Now(), map[string]string{}, make(chan struct{})
+	go t.loop()
+}
+
+func (t *idleTasks) disturb(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.disturbed, t.calmSince = on, time.Now()
+}
+
+func (t *idleTasks) loop() {
+	lastRan, idleSince := map[string]time.Time{}, map[string]time.Time{}
+	for _, name := range t.names {
+		lastRan[name] = time.Now()
+	}
+	for {
+		select {
+		case <-t.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		now := time.Now()
+		t.mu.Lock()
+		calm := !t.disturbed && now.Sub(t.calmSince) >= calmBefore
+		for _, name := range t.names {
+			if t.site.judge.runnerOf(name) != nil {
+				lastRan[name] = now
+			}
+			if !calm || now.Sub(lastRan[name]) < sinceLastRun {
+				delete(idleSince, name)
+				continue
+			}
+			if idleSince[name].IsZero() {
+				idleSince[name] = now
+			}
+			if now.Sub(idleSince[name]) >= idleLimit && t.broken[name] == "" {
+				t.broken[name] = fmt.Sprintf("%s lasts and has not run for %.1f s, the last %.1f s of them in calm and with capacity for it",
+					name, now.Sub(lastRan[name]).Seconds(), now.Sub(t.calmSince).Seconds())
+				t.site.record.say("%s", t.broken[name])
+			}
+		}
+		t.mu.Unlock()
+	}
+}
+
+func (t *idleTasks) end() []string {
+	close(t.stop)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := []string{}
+	for _, line := range t.broken {
+		out = append(out, line)
+	}
+	return out
+}
