review: case 4, a host panics when it is stopped while it takes its lead again

A leader whose lease has lapsed in an outage of the store tries to take the leadership again. A SIGTERM meanwhile ends its term; the attempt succeeds and begins a term from an empty result, and the first job record panics.

--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -91,13 +91,23 @@
 	changed  chan struct{}
 }
 
-// startRunner starts a runner at a free address.
+// startRunner starts a runner at a free address, behind a link of its own.
 func startRunner(id, zone, rack string, capacity size, store *platformStore, judge *judge, planOf func(id, task string) plan) (*runner, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{
+	r := newRunner(id, zone, rack, capacity, store, judge, planOf)
+	if r.link, err = newLink(listener.Addr().String()); err != nil {
+		return nil, err
+	}
+	r.address = r.link.address
+	r.begin(listener)
+	return r, nil
+}
+
+func newRunner(id, zone, rack string, capacity size, store *platformStore, judge *judge, planOf func(id, task string) plan) *runner {
+	return &runner{
 		id:       id,
 		zone:     zone,
 		rack:     rack,
@@ -105,26 +115,36 @@
 		store:    store,
 		judge:    judge,
 		planOf:   planOf,
-		listener: listener,
-		address:  listener.Addr().String(),
 		born:     time.Now(),
 		up:       true,
 		running:  map[string]*run{},
 		barred:   map[string]int64{},
 		changed:  make(chan struct{}),
 	}
-	if r.link, err = newLink(r.address); err != nil {
-		return nil, err
-	}
-	r.address = r.link.address
+}
+
+func (r *runner) begin(listener net.Listener) {
+	r.listener = listener
 	r.server = &http.Server{
 		Handler: r,
 	}
 	go func() { _ = r.server.Serve(listener) }()
 	go r.beat()
 	go r.watchLease()
-	judge.record.add("runner %s up at %s, born %d", id, r.address, r.born.UnixMilli())
-	return r, nil
+	r.judge.record.say("runner %s is up at %s, born %d", r.id, r.address, r.born.UnixMilli())
+}
+
+// listenAgain listens at an address that was in use until a moment ago.
+func listenAgain(address string) (net.Listener, error) {
+	var listener net.Listener
+	var err error
+	for range 50 {
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return listener, nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil, err
 }
 
 // crash ends the runner at once: its connections close and its runs are gone.
@@ -138,7 +158,6 @@
 	r.running = map[string]*run{}
 	r.mu.Unlock()
 	_ = r.server.Close()
-	_ = r.link.listener.Close()
 	r.judge.record.say("runner %s crashes", r.id)
 	time.AfterFunc(3*heartbeat, func() { r.store.remove("servers/" + r.id) })
 }
--- a/review/cases/site.go
+++ b/review/cases/site.go
@@ -36,6 +36,8 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
+	// killed is set once it was sent SIGKILL.
+	killed bool
 }
 
 // site is a small deployment: hosts, runners, the store and clients.
@@ -54,6 +56,8 @@
 
 	mu     sync.Mutex
 	leader string
+	// crashes lists the processes that ended by themselves with a failure.
+	crashes []string
 }
 
 // newSite builds a site; plans says how runs go.
@@ -323,19 +327,43 @@
 	}
 	s.record.say("host %s starts, pid %d", h.name, h.command.Process.Pid)
 	exited, command := make(chan struct{}), h.command
-	h.exited = exited
+	h.exited, h.killed = exited, false
 	go func() {
 		err := command.Wait()
 		_ = out.Close()
 		s.record.say("host %s has ended: %v", h.name, err)
+		s.noteEnd(h, err)
 		close(exited)
 	}()
 	return nil
 }
 
+// noteEnd notes a process that has ended with a failure though it was not
+// killed, with the first line of its panic.
+func (s *site) noteEnd(h *host, err error) {
+	h.mu.Lock()
+	killed := h.killed
+	h.mu.Unlock()
+	if err == nil || killed {
+		return
+	}
+	reason := ""
+	if text, readErr := os.ReadFile(h.log); readErr == nil {
+		for _, line := range strings.Split(string(text), "\n") {
+			if strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+				reason = line
+			}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = append(s.crashes, fmt.Sprintf("the process of host %s ended by itself: %v, %q", h.name, err, reason))
+}
+
 func (s *site) signal(h *host, signal syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.killed = h.killed || signal == syscall.SIGKILL
 	select {
 	case <-h.exited:
 		return
@@ -364,6 +392,7 @@
 	for _, h := range s.hosts {
 		h.mu.Lock()
 		if h.command != nil && h.command.Process != nil {
+			h.killed = true
 			_ = h.command.Process.Kill()
 			h.mu.Unlock()
 			<-h.exited
