review: case 3, a gang that has ended done runs again

The ends of all members of a gang but one are acknowledged before the record that counts them is in the store. If the leader is replaced and the runner of that one has crashed, the gang runs again.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 # line of deploy/system.toml) and review/build.sh.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/cases ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec ../bin/cases -case lapse -dir . -program ../../target/mustardreach
+exec ../bin/cases -case gang-done -dir . -program ../../target/mustardreach
--- a/review/cases/judge.go
+++ b/review/cases/judge.go
@@ -127,6 +127,23 @@
 	}
 }
 
+// notedOf returns the runners whose end done of one of the tasks was taken note
+// of, and those whose was not.
+func (j *judge) notedOf(tasks []string) (noted, other []*runner) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, task := range tasks {
+		for _, end := range j.done[task] {
+			if end.noted.IsZero() {
+				other = append(other, end.runner)
+			} else {
+				noted = append(noted, end.runner)
+			}
+		}
+	}
+	return noted, other
+}
+
 // twice returns the breaks of TWICE: two runs of a task at the same time, and
 // starts after an end done that was taken note of before or later.
 func (j *judge) twice() []string {
