--- a/review/cases/lapse.go
+++ b/review/cases/lapse.go
@@ -3,22 +3,28 @@
 import (
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 )
 
 func init() {
+	plans := func(string, string) plan {
+		return plan{
+			size: size{
+				CPU:   6400,
+				MemMB: 13000,
+			},
+			duration: time.Hour,
+			ending:   "done",
+		}
+	}
 	cases["lapse"] = namedCase{
-		play: lapse,
-		plans: func(string, string) plan {
-			return plan{
-				size: size{
-					CPU:   6400,
-					MemMB: 13000,
-				},
-				duration: time.Hour,
-				ending:   "done",
-			}
-		},
+		play:  func(s *site, trouble bool) ([]string, error) { return lastingTasks(s, trouble, s.lapseAndCrash) },
+		plans: plans,
+	}
+	cases["takeover"] = namedCase{
+		play:  func(s *site, trouble bool) ([]string, error) { return lastingTasks(s, trouble, s.killAndCrash) },
+		plans: plans,
 	}
 }
 
@@ -31,9 +37,38 @@
 	calmBefore   = 4 * time.Second
 )
 
-// lapse plays an outage of the store in which the leases run out, while one of
-// seven runners crashes for good.
-func lapse(s *site, trouble bool) ([]string, error) {
+// lapseAndCrash is an outage of the store in which the leases run out, while a
+// runner crashes for good.
+func (s *site) lapseAndCrash(crashing *runner) error {
+	s.record.say("the store is down, its leases run out")
+	s.store.setDown(true, true)
+	time.Sleep(800 * time.Millisecond)
+	crashing.crash()
+	time.Sleep(3700 * time.Millisecond)
+	s.store.setDown(false, false)
+	s.record.say("the store is back")
+	return nil
+}
+
+// killAndCrash kills the leading host after a runner has crashed for good. The
+// host is back 3 s later.
+func (s *site) killAndCrash(crashing *runner) error {
+	leading := s.leading()
+	crashing.crash()
+	time.Sleep(300 * time.Millisecond)
+	s.signal(leading, syscall.SIGKILL)
+	<-leading.exited
+	time.Sleep(3 * time.Second)
+	if err := s.startHost(leading); err != nil {
+		return err
+	}
+	time.Sleep(500 * time.Millisecond)
+	return nil
+}
+
+// lastingTasks plays a disturbance twice beside tasks that last, each time with
+// another one of seven runners.
+func lastingTasks(s *site, trouble bool, disturbance func(crashing *runner) error) ([]string, error) {
 	const runners, tasks = 7, 14
 	if err := smallSite(s, runners); err != nil {
 		return nil, err
@@ -62,13 +97,9 @@
 	for round := range 2 {
 		if trouble {
 			breaks.disturb(true)
-			s.record.say("the store is down, its leases run out")
-			s.store.setDown(true, true)
-			time.Sleep(800 * time.Millisecond)
-			s.runners[round].crash()
-			time.Sleep(3700 * time.Millisecond)
-			s.store.setDown(false, false)
-			s.record.say("the store is back")
+			if err := disturbance(s.runners[round]); err != nil {
+				return nil, err
+			}
 			breaks.disturb(false)
 		}
 		time.Sleep(18 * time.Second)
