--- a/review/cases/gangdone.go
+++ b/review/cases/gangdone.go
@@ -25,9 +25,9 @@
 }
 
 // gangDone lets a gang end while the store turns the leading host away. Then one
-// of the seven runners crashes.
+// of the fourteen runners crashes.
 func gangDone(s *site, trouble bool) ([]string, error) {
-	if err := smallSite(s, 7); err != nil {
+	if err := smallSite(s, 14); err != nil {
 		return nil, err
 	}
 	time.Sleep(3 * time.Second)
--- a/review/cases/lapse.go
+++ b/review/cases/lapse.go
@@ -67,9 +67,9 @@
 }
 
 // lastingTasks plays a disturbance twice beside tasks that last, each time with
-// another one of seven runners.
+// another one of fourteen runners.
 func lastingTasks(s *site, trouble bool, disturbance func(crashing *runner) error) ([]string, error) {
-	const runners, tasks = 7, 14
+	const runners, tasks = 14, 28
 	if err := smallSite(s, runners); err != nil {
 		return nil, err
 	}
