--- a/review/cases/cutrunner.go
+++ b/review/cases/cutrunner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -73,6 +74,10 @@
 	breaks := []string{}
 	ran := map[string]bool{}
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		// The rule holds only with capacity for a task twice over.
+		if s.room(s.plans("", "").size) < 2 {
+			return nil, errors.New("there is no capacity for a task twice over")
+		}
 		for _, id := range ids {
 			ran[id] = ran[id] || s.judge.runnerOf(id+".0.0.0") != nil
 		}
--- a/review/cases/lapse.go
+++ b/review/cases/lapse.go
@@ -19,11 +19,11 @@
 		}
 	}
 	cases["lapse"] = namedCase{
-		play:  func(s *site, trouble bool) ([]string, error) { return lastingTasks(s, trouble, s.lapseAndCrash) },
+		play:  func(s *site, trouble bool) ([]string, error) { return lastingTasks(s, trouble, 4, s.lapseAndCrash) },
 		plans: plans,
 	}
 	cases["takeover"] = namedCase{
-		play:  func(s *site, trouble bool) ([]string, error) { return lastingTasks(s, trouble, s.killAndCrash) },
+		play:  func(s *site, trouble bool) ([]string, error) { return lastingTasks(s, trouble, 2, s.killAndCrash) },
 		plans: plans,
 	}
 }
@@ -66,17 +66,18 @@
 	return nil
 }
 
-// lastingTasks plays a disturbance twice beside tasks that last, each time with
-// another one of fourteen runners.
-func lastingTasks(s *site, trouble bool, disturbance func(crashing *runner) error) ([]string, error) {
-	const runners, tasks = 14, 28
+// lastingTasks plays a disturbance up to the given number of times beside tasks
+// that last, each time with the runner that has the most of them, one of
+// seventeen to fourteen. It ends with the first break.
+func lastingTasks(s *site, trouble bool, rounds int, disturbance func(crashing *runner) error) ([]string, error) {
+	const runners, tasks = 17, 34
 	if err := smallSite(s, runners); err != nil {
 		return nil, err
 	}
 	time.Sleep(3 * time.Second)
 	id := newID()
 	if err := s.submit(id, "stock reconciliation", []map[string]any{
-		{"count": tasks, "cpu": 6400, "mem_mb": 13000, "estimate_ms": 320, "persistent": true, "max_per_server": 2},
+		{"count": tasks, "cpu": 6400, "mem_mb": 13000, "estimate_ms": 320, "persistent": true},
 	}); err != nil {
 		return nil, err
 	}
@@ -94,19 +95,54 @@
 	}
 	breaks.begin()
 	time.Sleep(8 * time.Second) // their runs have lasted for longer than a lease
-	for round := range 2 {
+	for range rounds {
 		if trouble {
 			breaks.disturb(true)
-			if err := disturbance(s.runners[round]); err != nil {
+			if err := disturbance(s.busiest()); err != nil {
 				return nil, err
 			}
 			breaks.disturb(false)
 		}
 		time.Sleep(18 * time.Second)
+		if breaks.any() {
+			break
+		}
 	}
 	return breaks.end(), nil
 }
 
+// busiest returns the runner with the most runs.
+func (s *site) busiest() *runner {
+	var best *runner
+	most := 0
+	for _, r := range s.runners {
+		r.mu.Lock()
+		if r.up && len(r.running) > most {
+			best, most = r, len(r.running)
+		}
+		r.mu.Unlock()
+	}
+	return best
+}
+
+// room returns how many tasks of a size fit on the runners that are up.
+func (s *site) room(need size) int {
+	count := 0
+	for _, r := range s.runners {
+		r.mu.Lock()
+		free := r.capacity
+		for _, each := range r.running {
+			free.CPU -= each.plan.size.CPU
+			free.MemMB -= each.plan.size.MemMB
+		}
+		if r.up {
+			count += max(0, min(free.CPU/need.CPU, free.MemMB/need.MemMB))
+		}
+		r.mu.Unlock()
+	}
+	return count
+}
+
 // awaitRunning waits until all tasks run, and returns one that does not.
 func (s *site) awaitRunning(names []string, limit time.Duration) string {
 	end := time.Now().Add(limit)
@@ -160,13 +196,16 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		now := time.Now()
+		// The rule holds only with capacity for a task twice over.
+		const twiceOver = 2
+		capacity := t.site.room(t.site.plans("", "").size) >= twiceOver
 		t.mu.Lock()
 		calm := !t.disturbed && now.Sub(t.calmSince) >= calmBefore
 		for _, name := range t.names {
 			if t.site.judge.runnerOf(name) != nil {
 				lastRan[name] = now
 			}
-			if !calm || now.Sub(lastRan[name]) < sinceLastRun {
+			if !calm || !capacity || now.Sub(lastRan[name]) < sinceLastRun {
 				delete(idleSince, name)
 				continue
 			}
@@ -183,6 +222,12 @@
 	}
 }
 
+func (t *idleTasks) any() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.broken) > 0
+}
+
 func (t *idleTasks) end() []string {
 	close(t.stop)
 	t.mu.Lock()
