Release the claim of a start whose repetition and stop were refused

Cause: a start got no answer, its repetition was not sent, and the one stop after that was not sent either. Stops were repeated only for runs of ended jobs, orphaned runs and runs whose start got no answer three times. The claim was neither confirmed nor barred, so that no report released it.

Change: a claim says in startDue whether a start of it is on its way. One that is neither confirmed nor startDue is stopped until the worker accepts the stop. On related paths: a replaced run is orphaned, so that its stop is repeated; a start of a job that has ended meanwhile is not sent again, nor for the first time; an order to a worker without a link is answered with not_sent instead of being dropped.

Ruled out: the worker's lease (it answers before the lease is over) and the dispatcher of serve, which repeats orders until they are resolved.

--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -51,6 +51,7 @@
 func (t *term) order(c *call, worker string, now time.Time) {
 	workerLink := t.links[worker]
 	if workerLink == nil {
+		t.handleReply(c, schedule.NotSent, 0, now) // the board awaits an answer to every order
 		return
 	}
 	c.term, c.target, c.validUntil, c.queuedAt = t, workerLink.target, t.actUntil, now
--- a/internal/process/leader/calls_test.go
+++ b/internal/process/leader/calls_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"expvar"
 	"testing"
 	"time"
 
@@ -55,3 +56,33 @@
 		})
 	}
 }
+
+// Guards against a claim that is never released: its order went to a worker that
+// had left the list, and the board waited for an answer.
+func TestOrderWithoutLinkIsAnswered(t *testing.T) {
+	tests := map[string]*call{
+		"start_not_sent": {
+			start: &schedule.Start{},
+		},
+		"stop_not_sent": {
+			stop: &schedule.Stop{},
+		},
+		"pace_not_sent": {
+			throttle: &schedule.Throttle{},
+		},
+	}
+	for counter, order := range tests {
+		t.Run(counter, func(t *testing.T) {
+			leading := &term{
+				leader: &Leader{
+					board: schedule.NewBoard(schedule.Config{}),
+					config: Config{
+						Counts: new(expvar.Map).Init(),
+					},
+				},
+			}
+			leading.order(order, "w0", time.Now())
+			assert.NotNil(t, leading.leader.config.Counts.Get(counter))
+		})
+	}
+}
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -13,7 +13,10 @@
 const stopRetryGraces = 2
 
 // claim is the capacity that a run holds on a worker until it has certainly
-// ended.
+// ended. Every claim has a next event that keeps or releases it: an order to send
+// or an answer (startDue, stopping, needsStop), the next report of the worker
+// (confirmed, barred), or, while the worker cannot be reached, the end of its
+// lease.
 type claim struct {
 	run  int64
 	size worker.Size
@@ -21,10 +24,15 @@
 	account *quota.Account
 	// confirmed is set once the worker has reported the run.
 	confirmed bool
+	// startDue is set while a copy of the start waits to be sent or for its
+	// answer. A claim that is neither confirmed nor startDue is stopped until the
+	// worker has barred the run.
+	startDue bool
 	started   time.Time
 	// confirmedAt is when the newest call was sent whose answer listed the run.
 	confirmedAt time.Time
-	// stopping is when a stop was last requested, zero without one.
+	// stopping is when a stop was requested whose answer is awaited, or which was
+	// accepted; zero without one.
 	stopping time.Time
 	// barred is when the worker accepted a stop or refused the start as
 	// outdated. A run that is missing from the answer to a call sent more than
@@ -167,6 +175,14 @@
 	}
 }
 
+// needsStop reports whether the run must not go on: its task does not want it any
+// more, or a copy of its start that got no answer may still begin it. The stop is
+// repeated until the worker accepts it.
+func (c *claim) needsStop(j *job) bool {
+	ended := j != nil && j.progress.State.Final()
+	return ended || c.orphaned || !c.confirmed && !c.startDue
+}
+
 // estimatedUse is the processor time that a run is estimated to use, in
 // millicores.
 func (c *claim) estimatedUse() int64 {
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -75,15 +75,16 @@
 			continue
 		}
 		held := w.claims[start.Key]
-		if held == nil || held.run != start.Run || !held.stopping.IsZero() {
+		if held == nil || held.run != start.Run {
 			continue
 		}
-		if w.Draining || b.evacuated[w.Zone] || b.overcommitted(w) {
+		if !held.stopping.IsZero() || !b.isOpen(start.Key) || w.Draining || b.evacuated[w.Zone] || b.overcommitted(w) {
+			held.startDue = false
 			b.stop(w.ID, start.Key, start.Run, "no_answer")
 			continue
 		}
 		if !held.stillAdmits() {
-			if b.withholdRetry(w, held, start) {
+			if held.startDue = b.withholdRetry(w, held, start); held.startDue {
 				later = append(later, start)
 			}
 			continue
@@ -113,12 +114,9 @@
 			continue
 		}
 		for key, held := range w.claims {
-			j := b.jobs[key.Job]
-			ended := j != nil && j.progress.State.Final()
-			if !ended && !held.orphaned && held.retries <= maxRetries {
-				continue
+			if held.needsStop(b.jobs[key.Job]) {
+				b.stop(w.ID, key, held.run, "over")
 			}
-			b.stop(w.ID, key, held.run, "over")
 		}
 	}
 }
--- a/internal/process/schedule/ends.go
+++ b/internal/process/schedule/ends.go
@@ -50,6 +50,9 @@
 	if t.phase == claimed {
 		// An earlier run is done while a later one is running: stop the later
 		// one.
+		if w := b.workers[t.worker]; w != nil && w.claims[t.key] != nil {
+			w.claims[t.key].orphaned = true
+		}
 		b.stop(t.worker, t.key, t.run, "done_elsewhere")
 		j.claims--
 		t.phase = waiting
--- a/internal/process/schedule/placements.go
+++ b/internal/process/schedule/placements.go
@@ -15,6 +15,8 @@
 // sendStart orders the start of a task that has a claim.
 func (b *Board) sendStart(j *job, step *stepState, start Start, now time.Time) {
 	t := step.tasks[start.Key.Index]
+	held := b.workers[start.Worker].claims[start.Key]
+	held.startDue = true
 	t.located, j.hasLocated = true, true
 	b.addLastWorker(t, b.workers[start.Worker], now)
 	if step.spec.LongRunning {
@@ -26,7 +28,7 @@
 		})
 		return
 	}
-	b.workers[start.Worker].claims[start.Key].unanswered++
+	held.unanswered++
 	b.effects.Starts = append(b.effects.Starts, start)
 }
 
@@ -40,8 +42,9 @@
 		}
 		held := w.claims[next.start.Key]
 		switch {
-		case held == nil || held.run != next.start.Run || !held.stopping.IsZero() || !held.barred.IsZero():
-		case !b.usable(w, now) || b.overcommitted(w) || !held.stillAdmits():
+		case held == nil || held.run != next.start.Run:
+		case !held.stopping.IsZero() || !b.isOpen(next.start.Key) || !b.usable(w, now) || b.overcommitted(w) || !held.stillAdmits():
+			// Nothing was sent, so that there is nothing to wait for.
 			b.release(w, next.start.Key, now)
 		case j.durable < next.version || b.startsLeft <= 0:
 			later = append(later, next)
--- a/internal/process/schedule/replies.go
+++ b/internal/process/schedule/replies.go
@@ -27,6 +27,7 @@
 	if held == nil || held.run != start.Run {
 		return
 	}
+	held.startDue = false
 	if verdict != Unknown {
 		held.unanswered--
 	}
@@ -53,6 +54,7 @@
 func (b *Board) retryStart(w *workerState, held *claim, start Start) {
 	held.retries++
 	if held.retries <= maxRetries && held.stopping.IsZero() && b.isOpen(start.Key) {
+		held.startDue = true
 		b.pendingRetries = append(b.pendingRetries, start)
 		return
 	}
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -79,6 +79,8 @@
 	number      int64
 	until       time.Time
 	partitioned bool
+	// restartsAt is when a draining worker restarts, zero if it does not.
+	restartsAt time.Time
 }
 
 type delayedStart struct {
@@ -126,6 +128,8 @@
 	// quick ones; preempted counts these.
 	preempts  bool
 	preempted int
+	// refuses is set if workers refuse orders, or orders are not sent, until calmed.
+	refuses, calmed bool
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -320,12 +324,26 @@
 			board.StopReplied(stop, NotSent, sim.now)
 			continue
 		}
+		verdict := Accepted
+		switch sim.stopFate() {
+		case "not sent":
+			board.StopReplied(stop, NotSent, sim.now)
+			continue
+		case "unhealthy":
+			board.StopReplied(stop, Unhealthy, sim.now)
+			continue
+		case "lost":
+			board.StopReplied(stop, Unknown, sim.now)
+			continue
+		case "unanswered":
+			verdict = Unknown
+		}
 		simWorker.token = board.token
 		simWorker.barred[stop.Key] = max(simWorker.barred[stop.Key], stop.Run)
 		if running := simWorker.running[stop.Key]; running != nil && running.run <= stop.Run {
 			sim.end(simWorker, stop.Key, EndedStopped)
 		}
-		board.StopReplied(stop, Accepted, sim.now)
+		board.StopReplied(stop, verdict, sim.now)
 	}
 	for _, start := range effects.Starts {
 		sim.send(board, start)
@@ -335,7 +353,7 @@
 func (sim *simulation) send(board *Board, start Start) {
 	until := sim.now.Add(testLeaseTerm)
 	board.LeaseExtended(start.Worker, sim.now)
-	fate := rapid.SampledFrom([]string{"ok", "ok", "ok", "lost", "unanswered", "late"}).Draw(sim.t, "fate")
+	fate := sim.startFate()
 	simWorker := sim.workers[start.Worker]
 	if simWorker == nil || simWorker.partitioned {
 		fate = "lost"
@@ -356,6 +374,10 @@
 	case "late":
 		order.at = sim.now.Add(time.Duration(rapid.IntRange(1, 12).Draw(sim.t, "delay")) * time.Second)
 		sim.delayed = append(sim.delayed, order)
+	case "not sent":
+		verdict = NotSent
+	case "unhealthy":
+		verdict = Unhealthy
 	}
 	board.StartReplied(start, verdict, sim.now)
 }
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -184,7 +184,6 @@
 			continue
 		}
 		held.confirmed, held.stopping, held.barred = false, time.Time{}, time.Time{}
-		held.retries = maxRetries + 1 // the stop is sent again until it is answered
 		b.stop(w.ID, key, held.run, "worker_restarted")
 	}
 	w.incarnation, w.firstReport = born, now
