Take no run for gone while ends may be left out of a report

Cause: a worker lists at most 500 ended runs that it may not forget yet. While the store takes no writes, none may be forgotten, and a run whose end is left out is in neither list of the report. applyRunning released its claim, and a new leader counted the worker as accounted for.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -148,7 +148,7 @@
 func (b *Board) Begin(token int64, now time.Time) {
 	b.token, b.termStart, b.now, b.runs, b.fenced = token, now, now, 0, false
 	for _, w := range b.workers {
-		w.reportedToken = 0
+		w.reportedToken, w.settledToken = 0, 0
 	}
 }
 
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -28,7 +28,7 @@
 	// answer. A claim that is neither confirmed nor startDue is stopped until the
 	// worker has barred the run.
 	startDue bool
-	started   time.Time
+	started  time.Time
 	// confirmedAt is when the newest call was sent whose answer listed the run.
 	confirmedAt time.Time
 	// stopping is when a stop was requested whose answer is awaited, or which was
--- a/internal/process/schedule/claims_simulation_test.go
+++ b/internal/process/schedule/claims_simulation_test.go
@@ -36,7 +36,7 @@
 
 // calm ends all faults: from here on calls get through and are answered.
 func (sim *simulation) calm() {
-	sim.calmed = true
+	sim.calmed, sim.storeDown = true, false
 	sim.board.Evacuate(nil)
 	for id, simWorker := range sim.workers {
 		simWorker.partitioned = false
--- a/internal/process/schedule/claims_test.go
+++ b/internal/process/schedule/claims_test.go
@@ -16,12 +16,30 @@
 	tests := map[string]struct {
 		repetition, stop Verdict
 	}{
-		"worker cut off":           {repetition: NotSent, stop: NotSent},
-		"worker unhealthy":         {repetition: Unhealthy, stop: Unhealthy},
-		"stop without an answer":   {repetition: NotSent, stop: Unknown},
-		"address of another":       {repetition: OtherWorker, stop: OtherWorker},
-		"lease of the start over":  {repetition: TooLate, stop: Unhealthy},
-		"ticket no longer granted": {repetition: NoTicket, stop: Unknown},
+		"worker cut off": {
+			repetition: NotSent,
+			stop:       NotSent,
+		},
+		"worker unhealthy": {
+			repetition: Unhealthy,
+			stop:       Unhealthy,
+		},
+		"stop without an answer": {
+			repetition: NotSent,
+			stop:       Unknown,
+		},
+		"address of another": {
+			repetition: OtherWorker,
+			stop:       OtherWorker,
+		},
+		"lease of the start over": {
+			repetition: TooLate,
+			stop:       Unhealthy,
+		},
+		"ticket no longer granted": {
+			repetition: NoTicket,
+			stop:       Unknown,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -63,6 +63,9 @@
 		w.leaseEnd = now.Add(b.longestLease())
 	}
 	w.reportedToken, w.lastReport, w.reachable, w.closed = b.token, now, true, false
+	if !inventory.EndsOmitted {
+		w.settledToken = b.token
+	}
 	newEnds := b.applyEnds(w, inventory.Ended, now)
 	b.applyRunning(w, inventory, now)
 	b.observeTails(w)
@@ -101,6 +104,9 @@
 			b.clearSuspect(w, row.Key, held)
 		}
 	}
+	if inventory.EndsOmitted {
+		return // a run that is not listed may have ended
+	}
 	for key, held := range w.claims {
 		if run, ok := listed[key]; ok && run == held.run {
 			continue
--- a/internal/process/schedule/orders.go
+++ b/internal/process/schedule/orders.go
@@ -152,8 +152,11 @@
 	// Born is when this incarnation of the worker began.
 	Born    time.Time
 	Running []RunningTask
-	// Ended lists the ends not yet forgotten in rising order, at most 500.
-	Ended []EndedTask
+	// Ended lists the ends not yet forgotten in rising order. EndsOmitted is set
+	// if later ones may have been left out: then a run that is in neither list may
+	// have ended, in whatever way.
+	Ended       []EndedTask
+	EndsOmitted bool
 	// Sent and Received are when this host sent the call and got the answer.
 	Sent, Received time.Time
 }
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -130,6 +130,10 @@
 	preempted int
 	// refuses is set if workers refuse orders, or orders are not sent, until calmed.
 	refuses, calmed bool
+	// endsListed limits the ended runs in a report, zero for no limit.
+	endsListed int
+	// storeDown fails all writes.
+	storeDown bool
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -419,15 +423,20 @@
 		sim.acknowledge(end)
 	}
 	simWorker.ended = kept
+	omitted := sim.endsListed > 0 && len(kept) >= sim.endsListed
+	if omitted {
+		kept = kept[:sim.endsListed]
+	}
 	if len(simWorker.running) > 0 || board == sim.board {
 		simWorker.until = later(simWorker.until, sim.now.Add(testLeaseTerm))
 		board.LeaseExtended(id, sim.now)
 	}
 	inventory := Inventory{
-		Born:     simWorker.listing.Born,
-		Ended:    kept,
-		Sent:     sim.now,
-		Received: sim.now,
+		Born:        simWorker.listing.Born,
+		Ended:       kept,
+		EndsOmitted: omitted,
+		Sent:        sim.now,
+		Received:    sim.now,
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(simWorker.running), compareKeys) {
 		running := simWorker.running[key]
@@ -458,7 +467,7 @@
 		return
 	}
 	for _, record := range sim.board.Records(true, 100) {
-		if rapid.IntRange(0, 9).Draw(sim.t, "write") == 0 {
+		if sim.storeDown || rapid.IntRange(0, 9).Draw(sim.t, "write") == 0 {
 			sim.board.Written(record.Job, record.Version, false)
 			continue
 		}
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -109,7 +109,7 @@
 // accountedFor reports whether every run that an earlier leader started on the
 // worker is known or has ended.
 func (b *Board) accountedFor(w *workerState, now time.Time) bool {
-	return w.reportedToken == b.token || !now.Before(w.leaseEnd) || b.hasLeft(w)
+	return w.settledToken == b.token || !now.Before(w.leaseEnd) || b.hasLeft(w)
 }
 
 // UnsettledWorker is a worker that may have runs of an earlier leader which
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -42,6 +42,9 @@
 	// reportedToken is the token under which it last reported, lastReport when.
 	reportedToken int64
 	lastReport    time.Time
+	// settledToken is the token under which it last reported all its runs and all
+	// ends that it has not forgotten.
+	settledToken int64
 	// firstReport is when this incarnation first reported, lostAt when the
 	// worker was last found unreachable.
 	firstReport, lostAt time.Time
@@ -94,7 +97,7 @@
 			// Its runs are gone. They are released once it has reported: from
 			// then on it refuses delayed starts of earlier leaders.
 			w.markLost(now)
-			w.reportedToken = 0
+			w.reportedToken, w.settledToken = 0, 0
 		}
 		w.idle += listing.Capacity.MilliCores - w.Capacity.MilliCores
 		w.Listing = listing
