Take a draining worker for gone only by a reliable list

Cause: hasLeft released the runs of a draining worker that had closed a connection and was off the list. Entries lapse while the store is away and are back up to two seconds after its return, so that a worker that still runs its tasks can be off the list; a connection can be closed for other reasons. Its tasks would run twice.

Change: leftList is set by a list that is reliable only, as for the removal of other workers.

--- a/internal/process/schedule/drain.go
+++ b/internal/process/schedule/drain.go
@@ -45,9 +45,10 @@
 }
 
 // hasLeft reports whether a draining worker has closed its connections and is
-// off the discovery list: it has shut down, and its runs have ended with it.
+// off the discovery list: it has shut down, and its runs have ended with it. A list
+// that is not reliable may lack a worker that is alive.
 func (b *Board) hasLeft(w *workerState) bool {
-	return w.Draining && !w.listed && w.closed
+	return w.Draining && w.leftList && w.closed
 }
 
 // Closed records that a worker closed the connection of a poll. A worker that
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -37,6 +37,8 @@
 	// reliable.
 	listed        bool
 	unlistedSince time.Time
+	// leftList is set while a reliable list is without the worker.
+	leftList bool
 	// incarnation is the Born time of the last answer.
 	incarnation time.Time
 	// reportedToken is the token under which it last reported, lastReport when.
@@ -101,7 +103,7 @@
 		}
 		w.idle += listing.Capacity.MilliCores - w.Capacity.MilliCores
 		w.Listing = listing
-		w.listed = true
+		w.listed, w.leftList = true, false
 	}
 	for id, w := range b.workers {
 		if _, ok := listings[id]; ok {
@@ -110,6 +112,7 @@
 		if w.listed || !reliable {
 			w.listed, w.unlistedSince = false, now
 		}
+		w.leftList = reliable
 		if b.hasLeft(w) {
 			b.releaseAll(w, now)
 			delete(b.workers, id)
