Refuse an empty page of a listing when more keys follow

Cause: Reader took a page without items for the end of the listing even if the store said that more follow. What is left out would count as removed.

Change: such a page is an error, and the reader reads it again.

Test, failed before: TestReaderRefusesAnEmptyPageBeforeTheEnd.

--- a/internal/process/store/reader.go
+++ b/internal/process/store/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -46,11 +47,14 @@
 		if err != nil {
 			return Listing{}, err
 		}
+		if page.More && len(page.Items) == 0 {
+			return Listing{}, fmt.Errorf("%w: the page of %q after %q is empty though more keys follow", ErrUnavailable, r.prefix, r.after)
+		}
 		if r.listing.Revision == 0 {
 			r.listing.Revision = page.Revision
 		}
 		r.listing.Items = append(r.listing.Items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
+		if !page.More {
 			return r.listing, nil
 		}
 		r.after = page.Items[len(page.Items)-1].Key
--- a/internal/process/store/reader_test.go
+++ b/internal/process/store/reader_test.go
@@ -94,3 +94,35 @@
 		}
 	}
 }
+
+// Guards against a list that is taken for complete when a page was cut off: what
+// it leaves out would count as removed.
+func TestReaderRefusesAnEmptyPageBeforeTheEnd(t *testing.T) {
+	pages := []store.Page{
+		{
+			More:     true,
+			Revision: 7,
+		},
+		{
+			Items: []store.Item{
+				{
+					Key: "work/00",
+				},
+			},
+			Revision: 8,
+		},
+	}
+	reader := store.NewReader(store.Client{
+		Page: func(context.Context, string, string) (store.Page, error) {
+			page := pages[0]
+			pages = pages[1:]
+			return page, nil
+		},
+	}, "work/")
+	_, err := reader.Read(context.Background())
+	require.ErrorIs(t, err, store.ErrUnavailable)
+	listing, err := reader.Read(context.Background())
+	require.NoError(t, err)
+	assert.Len(t, listing.Items, 1)
+	assert.Equal(t, int64(8), listing.Revision, "a watch continues from the first page that is used")
+}
