Acknowledge an end only once all that follows from it is stored

Cause: the first end of a gang marks all members as done. The ends of the others found their task done, changed nothing more and were acknowledged at once, although the record with the result was not in the store. The same held for ends of jobs that had failed in memory only.

Change: applyEnd returns the job's newest version for ends that count, and for all ends of a final job. LastSeen waits for it.

Ruled out: cancelled jobs (the cancellation is stored first), jobs that move (claimed and inherited ones stay), the dispatcher of serve.

--- a/internal/process/schedule/ends.go
+++ b/internal/process/schedule/ends.go
@@ -8,8 +8,9 @@
 )
 
 // applyEnd applies the end of one run. It returns the job and version of the
-// record that must be in the store before the worker may forget the end;
-// version zero means that none must.
+// record that must be in the store before the worker may forget the end: one with
+// all that follows from the end, also if an earlier end has caused it. Version zero
+// means that nothing follows from it that a later leader would not find by itself.
 func (b *Board) applyEnd(w *workerState, end EndedTask, now time.Time) (id string, version int64) {
 	held := w.claims[end.Key]
 	if held != nil && held.run == end.Run {
@@ -17,11 +18,14 @@
 		b.release(w, end.Key, now)
 	}
 	j := b.jobs[end.Key.Job]
-	if j == nil || j.progress.State.Final() {
+	if j == nil {
 		return "", 0
 	}
 	occ, step, t := j.find(end.Key)
-	if t == nil || t.phase == done {
+	if j.progress.State.Final() || t != nil && t.phase == done {
+		return j.work.ID, j.version
+	}
+	if t == nil {
 		return "", 0
 	}
 	before := j.version
@@ -40,7 +44,8 @@
 			b.markChanged(j)
 		}
 	}
-	if j.version == before {
+	counts := !step.spec.LongRunning && (end.Ending == EndedDone || end.Ending == EndedFailed)
+	if j.version == before && !counts {
 		return "", 0
 	}
 	return j.work.ID, j.version
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -8,10 +8,12 @@
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
-// pendingEnd is an end whose effect may not be in the store yet.
+// pendingEnd is an end that its worker may not forget yet.
 type pendingEnd struct {
-	number  int64
-	key     work.TaskKey
+	number int64
+	key    work.TaskKey
+	// job and version name the record that must be in the store first. It has all
+	// that the end has changed, or that no later leader could find without it.
 	job     string
 	version int64
 }
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -67,6 +67,9 @@
 type simulatedRun struct {
 	run  int64
 	work time.Duration
+	// began is when it started, and whole is set once all members of its gang ran.
+	began time.Time
+	whole bool
 }
 
 // simulatedWorker keeps the state that the protocol requires of a worker.
@@ -134,6 +137,8 @@
 	endsListed int
 	// storeDown fails all writes.
 	storeDown bool
+	// gangs is set if the first steps of jobs are gangs.
+	gangs bool
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -256,6 +261,9 @@
 	if sim.quotas != nil {
 		sim.quotas.assign(sim.t, spec)
 	}
+	if sim.gangs {
+		spec.Steps[0].Gang, spec.Steps[0].Count = true, rapid.IntRange(2, 3).Draw(sim.t, "members")
+	}
 	sim.specs[id] = spec
 	sim.created[id] = sim.token + 1
 	sim.board.AddJob(spec, nil, false, sim.now, sim.now)
@@ -286,6 +294,8 @@
 	simWorker.running[start.Key] = &simulatedRun{
 		run:  start.Run,
 		work: rapid.SampledFrom([]time.Duration{simulationStep, time.Second}).Draw(sim.t, "work"),
+
+		began: sim.now,
 	}
 	simWorker.until = later(simWorker.until, until)
 	return Accepted
@@ -483,10 +493,14 @@
 		simWorker := sim.workers[id]
 		for _, key := range slices.SortedFunc(maps.Keys(simWorker.running), compareKeys) {
 			running := simWorker.running[key]
-			running.work -= simulationStep
+			gang := sim.gangs && sim.specs[key.Job].Steps[key.Step].Gang
+			if !gang {
+				running.work -= simulationStep
+			}
 			switch {
 			case sim.now.After(simWorker.until):
 				sim.end(simWorker, key, EndedLapsed)
+			case gang:
 			case running.work <= 0:
 				ending := EndedDone
 				if rapid.IntRange(0, 9).Draw(sim.t, "fails") == 0 {
@@ -496,6 +510,9 @@
 			}
 		}
 	}
+	if sim.gangs {
+		sim.advanceGangs()
+	}
 	var kept []delayedStart
 	for _, order := range sim.delayed {
 		if sim.now.Before(order.at) {
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -64,11 +64,12 @@
 	suspicion int
 	// fillers sums the millicores that fillers requested, by image.
 	fillers map[string]int64
-	// lastProcessed is the highest processed end. ends holds those whose effect
-	// is not in the store yet.
+	// lastProcessed is the highest processed end. ends holds those after lastSeen,
+	// in rising order.
 	lastProcessed int64
 	ends          []pendingEnd
-	// lastSeen is the highest end whose effect is in the store.
+	// lastSeen is the highest end that the worker may forget: the records of it and
+	// of all ends before it are in the store.
 	lastSeen int64
 	health   health
 	// blockedUntil delays new tasks after a refusal.
