Compare what is heard of the lead key by revision

Cause: the leader takes its lead again as soon as a renewal tells it that the lease is gone. The watch of the lead key tells of the removal of the former key after that. It was taken for the removal of the new key: the term ceased to act, never renewed, and lost the lead two seconds later.

Evidence: TestLateRemovalOfTheFormerKeyEndsNoTerm on the code before: "leadership taken" token=11 resumed=true, and 2 ms later "leadership lapsed" token=11.

On related paths: the answer to a commit that was sent under a former token says nothing about the resumed term; a listing that has a newer term's key ends the term before its jobs are taken; a key that is known to be gone before the acquisition's own answer is handled lapses the new term.

Tests, failed before: TestLateRemovalOfTheFormerKeyEndsNoTerm, TestListingWithANewerTermEndsTheTermBeforeItsJobs.

Not in this commit: the wait of a successor, the second fault of the case.

--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -11,50 +11,82 @@
 	"mustardreach.example/mustardreach/internal/process/store"
 )
 
-// observeLeadKey updates the current leader from a view of the lead key.
+// observeLeadKey updates the state of the lead key from a view.
 func (l *Leader) observeLeadKey(view store.View, now time.Time) {
 	if view.Err != nil {
 		return
 	}
 	if view.Snapshot {
-		lead := store.Item{}
-		for _, item := range view.Items {
-			if item.Key == l.config.Keys.Lead {
-				lead = item
-			}
-		}
-		if lead.Revision != l.leadKeyRevision || lead.Revision == 0 {
-			l.setCurrentLeader(lead.Value, lead.Revision, now)
-		}
+		l.observeLeadItems(view.Items, view.Revision, now)
 		return
 	}
 	for _, event := range view.Events {
-		if event.Key != l.config.Keys.Lead {
-			continue
-		}
-		if event.Removed {
-			l.setCurrentLeader(nil, 0, now)
-		} else {
-			l.setCurrentLeader(event.Value, event.Revision, now)
+		if event.Key == l.config.Keys.Lead {
+			l.observeLeadEvent(event, now)
 		}
 	}
 }
 
-func (l *Leader) setCurrentLeader(value []byte, revision int64, now time.Time) {
-	l.currentLeader, l.leadKeyRevision = Member{}, revision
-	if revision == 0 {
-		l.acquireAt = now.Add(l.config.AcquireDelay)
-		if l.yielding {
-			l.yielding, l.yieldUntil = false, now.Add(resignDelay)
+// observeLeadItems updates the state of the lead key from a listing that began at
+// a revision. What happened since then is in the events after it.
+func (l *Leader) observeLeadItems(items []store.Item, revision int64, now time.Time) {
+	for _, item := range items {
+		if item.Key == l.config.Keys.Lead {
+			l.leadKeySet(decodeMember(item), item.Revision)
+			return
 		}
-	} else if err := cbor.Unmarshal(value, &l.currentLeader); err != nil {
-		klog.ErrorS(err, "lead key cannot be read", "revision", revision)
 	}
+	l.leadKeyRemoved(revision, now)
+}
+
+func (l *Leader) observeLeadEvent(event store.Event, now time.Time) {
+	if event.Removed {
+		l.leadKeyRemoved(event.Revision, now)
+		return
+	}
+	l.leadKeySet(decodeMember(event.Item), event.Revision)
+}
+
+// decodeMember returns the leader that a value of the lead key or the epoch names.
+func decodeMember(item store.Item) Member {
+	var member Member
+	if err := cbor.Unmarshal(item.Value, &member); err != nil {
+		klog.ErrorS(err, "lead key cannot be read", "key", item.Key, "revision", item.Revision)
+	}
+	return member
+}
+
+// leadKeySet handles a write of the lead key. A newer key that names this process
+// was written by an acquisition whose answer is still outstanding.
+func (l *Leader) leadKeySet(member Member, revision int64) {
+	if !l.leadKey.set(member, revision) {
+		return
+	}
+	l.leaderChanged()
+	if l.term != nil && revision > l.term.token && member.Incarnation != l.config.Self.Incarnation {
+		l.stepDown("another host leads")
+	}
+}
+
+// leadKeyRemoved handles that there was no lead key at a revision.
+func (l *Leader) leadKeyRemoved(revision int64, now time.Time) {
+	if !l.leadKey.remove(revision) {
+		return
+	}
+	l.acquireAt = now.Add(l.config.AcquireDelay)
+	if l.yielding {
+		l.yielding, l.yieldUntil = false, now.Add(resignDelay)
+	}
+	l.leaderChanged()
 	if l.term != nil {
-		l.term.observeLeadKey(l.currentLeader, revision, now)
+		l.term.lapse(now)
+		l.acquireAt = now
 	}
-	l.config.LeaderChanged(l.currentLeader)
-	klog.InfoS("leader changed", "shard", l.config.Shard, "host", l.currentLeader.Host, "token", revision)
+}
+
+func (l *Leader) leaderChanged() {
+	l.config.LeaderChanged(l.leadKey.member)
+	klog.InfoS("leader changed", "shard", l.config.Shard, "host", l.leadKey.member.Host, "token", l.leadKey.revision)
 }
 
 // compete tries to acquire the leadership when nobody holds it, or when an
@@ -70,7 +102,7 @@
 	}
 	formerIncarnation := l.formerIncarnationLeads()
 	others := l.otherDuties()
-	unoccupied := l.leadKeyRevision == 0 && !l.acquireAt.IsZero() && !now.Before(l.acquireDue())
+	unoccupied := l.leadKey.revision == 0 && !l.acquireAt.IsZero() && !now.Before(l.acquireDue())
 	if l.acquiring || l.stopping || l.catalog.Version == 0 || (!unoccupied && !formerIncarnation) {
 		return
 	}
@@ -80,7 +112,7 @@
 	l.acquiring = true
 	attempt := &acquisition{
 		leader:  l,
-		replace: l.leadKeyRevision,
+		replace: l.leadKey.revision,
 	}
 	if l.term != nil {
 		attempt.formerToken = l.term.token
@@ -91,7 +123,7 @@
 // formerIncarnationLeads reports whether the lead key names an earlier process
 // of this host, which no longer exists.
 func (l *Leader) formerIncarnationLeads() bool {
-	return l.currentLeader.Host == l.config.Self.Host && l.currentLeader.Incarnation != l.config.Self.Incarnation
+	return l.leadKey.member.Host == l.config.Self.Host && l.leadKey.member.Incarnation != l.config.Self.Incarnation
 }
 
 // stepDown ends the term and drops its state.
@@ -122,13 +154,22 @@
 	}
 	l.config.Counts.Add("leadership_taken", 1)
 	klog.InfoS("leadership taken", "shard", l.config.Shard, "token", result.token, "resumed", result.resumed, "jobs", len(result.jobs))
-	if result.resumed && l.term != nil {
+	switch {
+	case result.resumed && l.term != nil:
 		l.term.resume(result)
 		l.board.Begin(result.token, now)
-		return
-	}
-	if l.term != nil {
+	case l.term != nil:
 		l.stepDown("replaced by a new term")
+		l.begin(ctx, result, now)
+	default:
+		l.begin(ctx, result, now)
+	}
+	l.leadKeySet(l.config.Self, result.token)
+	switch l.leadKey.revision {
+	case result.token:
+	case 0:
+		l.term.lapse(now)
+	default:
+		l.stepDown("another host leads")
 	}
-	l.begin(ctx, result, now)
 }
--- /dev/null
+++ b/internal/process/leader/compete_test.go
@@ -0,0 +1,132 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mustardreach.example/mustardreach/internal/process/shard"
+	"mustardreach.example/mustardreach/internal/process/store"
+)
+
+// slowWatch delivers the changes of a client one at a time, and none while held.
+type slowWatch struct {
+	client store.Client
+	mu     sync.Mutex
+	held   bool
+}
+
+func (w *slowWatch) hold(held bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = held
+}
+
+func (w *slowWatch) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
+	changes, err := w.client.Watch(ctx, prefix, after, wait)
+	for {
+		w.mu.Lock()
+		held := w.held
+		w.mu.Unlock()
+		if !held || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if len(changes.Events) > 1 {
+		changes.Events = changes.Events[:1]
+		changes.Revision = changes.Events[0].Revision
+	}
+	return changes, err
+}
+
+// Guards against a leader that gives up its own new term: it had taken its lead
+// again before its watch told of the removal of the former key. All starts ceased,
+// and another host led two seconds later.
+func TestLateRemovalOfTheFormerKeyEndsNoTerm(t *testing.T) {
+	s := newSite(t)
+	config := s.leaderConfig("recife-1")
+	slow := &slowWatch{
+		client: s.store.Client(),
+	}
+	config.Store.Watch = slow.watch
+	leading := s.startConfigured(t.Context(), config, shard.Solo()).leaders[0]
+	s.submit("a")
+	s.waitCompleted(leading, "a")
+	slow.hold(true)
+	former := s.token(leading)
+	s.store.ExpireLeases()
+	require.Eventually(t, func() bool { return s.token(leading) > former }, waitTimeout, time.Millisecond)
+	slow.hold(false)
+	time.Sleep(leaseTTL / 2) // both changes have been delivered, and the lease was renewed
+	unoccupied := make(chan bool, 1)
+	leading.post(func(time.Time) { unoccupied <- leading.term == nil || leading.term.unoccupied })
+	assert.False(t, <-unoccupied, "the newer term goes on")
+	assert.Equal(t, "2", config.Counts.Get("leadership_taken").String())
+	s.submit("b")
+	s.waitCompleted(leading, "b")
+}
+
+// token returns the token of the leader's term, zero without one.
+func (s *site) token(l *Leader) int64 {
+	token := make(chan int64, 1)
+	l.post(func(time.Time) {
+		if l.term == nil {
+			token <- 0
+			return
+		}
+		token <- l.term.token
+	})
+	return <-token
+}
+
+// Guards against a leader that gives up its resumed term because of a commit that
+// it sent before: the commit failed while there was no lead key, and its answer
+// came late.
+func TestLateConflictOfAFormerTokenEndsNoTerm(t *testing.T) {
+	resumed := &term{
+		leader: New(Config{}),
+		token:  9,
+	}
+	resumed.checkConflict(7, &store.ConflictError{}, time.Now())
+	assert.False(t, resumed.unoccupied)
+	resumed.checkConflict(9, &store.ConflictError{}, time.Now())
+	assert.True(t, resumed.unoccupied)
+}
+
+// Guards against jobs that a former leader takes for its own: the store had dropped
+// its history, and the listing with the next leader's key also had a job that was
+// submitted after it.
+func TestListingWithANewerTermEndsTheTermBeforeItsJobs(t *testing.T) {
+	s := newSite(t)
+	leading, _ := s.startLeader("recife-1")
+	s.submit("a")
+	s.waitCompleted(leading, "a")
+	former := make(chan *term, 1)
+	leading.post(func(time.Time) { former <- leading.term })
+	ended := <-former
+	done := make(chan bool, 1)
+	leading.post(func(now time.Time) {
+		ended.observeWork(store.View{
+			Snapshot: true,
+			Items: []store.Item{
+				{
+					Key:            soloKeys.Job("b"),
+					Revision:       ended.token + 1001,
+					CreateRevision: ended.token + 1001,
+				},
+				{
+					Key:      soloKeys.Lead,
+					Revision: ended.token + 1000,
+				},
+			},
+			Revision: ended.token + 1001,
+		}, now)
+		done <- leading.term == nil
+	})
+	assert.True(t, <-done, "another host leads")
+}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -20,12 +20,9 @@
 	// The fields below, up to leading, are used only by the loop.
 
 	// board and term are nil unless this host leads.
-	board *schedule.Board
-	term  *term
-	// currentLeader and leadKeyRevision are the lead key's value and revision in
-	// the newest view; zero if there is no lead key.
-	currentLeader   Member
-	leadKeyRevision int64
+	board   *schedule.Board
+	term    *term
+	leadKey leadKey
 	// acquireAt is when this host tries to acquire an unoccupied leadership.
 	acquireAt time.Time
 	// yielding is set from a resignation in favour of a better host until the
@@ -109,7 +106,7 @@
 func (l *Leader) maxIdle(now time.Time) time.Duration {
 	const minIdle = time.Millisecond
 	switch {
-	case l.term == nil && l.leadKeyRevision != 0 && !l.formerIncarnationLeads():
+	case l.term == nil && l.leadKey.revision != 0 && !l.formerIncarnationLeads():
 		return followTick
 	case l.term == nil && !l.acquiring && !l.acquireAt.IsZero():
 		if due := l.acquireDue().Sub(now); due > 0 {
--- a/internal/process/leader/observe.go
+++ b/internal/process/leader/observe.go
@@ -4,7 +4,6 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
 	"mustardreach.example/mustardreach/internal/process/schedule"
@@ -56,57 +55,46 @@
 	if view.Err != nil {
 		return
 	}
+	for _, item := range view.Items {
+		if t.isTermKey(item.Key) {
+			t.leader.leadKeySet(decodeMember(item), item.Revision)
+		}
+	}
+	if t.leader.term != t {
+		return
+	}
 	for _, item := range view.Items {
 		t.observeItem(item, now)
 	}
 	for _, event := range view.Events {
-		if (event.Key == t.keys().Lead || event.Key == t.keys().Epoch) && event.Revision > t.token {
-			t.observeLeadKey(decodeMember(event), leadRevision(event), now)
-			if t.leader.term != t {
-				return
-			}
-		}
-		if !event.Removed {
+		switch {
+		case t.isTermKey(event.Key):
+			t.leader.observeLeadEvent(event, now)
+		case !event.Removed:
 			t.observeItem(event.Item, now)
 		}
+		if t.leader.term != t {
+			return
+		}
 	}
 }
 
-// decodeMember returns the leader that an event on the lead key names, the zero
-// Member if the key was removed.
-func decodeMember(event store.Event) Member {
-	var member Member
-	if event.Removed {
-		return member
-	}
-	if err := cbor.Unmarshal(event.Value, &member); err != nil {
-		klog.ErrorS(err, "lead key cannot be read", "revision", event.Revision)
-	}
-	return member
-}
-
-// leadRevision returns the lead key's revision after an event, zero if the key
-// was removed.
-func leadRevision(event store.Event) int64 {
-	if event.Removed {
-		return 0
-	}
-	return event.Revision
+// isTermKey reports whether each new term writes the key: the epoch has the
+// revision and the value of the lead key, and is never removed.
+func (t *term) isTermKey(key string) bool {
+	return key == t.keys().Lead || key == t.keys().Epoch
 }
 
-// observeLeadKey compares the lead key with this term and steps down if another
-// host leads. A newer key that names this process was written by an acquisition
-// whose answer is still outstanding.
-func (t *term) observeLeadKey(member Member, revision int64, now time.Time) {
-	switch {
-	case revision == 0 && !t.unoccupied:
-		klog.InfoS("leadership lapsed", "shard", t.leader.config.Shard, "token", t.token)
-		t.unoccupied = true
-		t.actUntil = now
-		t.leader.leadKeyRevision, t.leader.acquireAt = 0, now
-	case revision > t.token && member.Incarnation != t.leader.config.Self.Incarnation:
-		t.leader.stepDown("another host leads")
+// lapse ends all acts until the leadership has been acquired again.
+func (t *term) lapse(now time.Time) {
+	if t.unoccupied {
+		return
 	}
+	klog.InfoS("leadership lapsed", "shard", t.leader.config.Shard, "token", t.token)
+	t.unoccupied = true
+	t.actUntil = now
+	t.leader.leadKey.lapse()
+	t.leader.acquireAt = now
 }
 
 func (t *term) observeItem(item store.Item, now time.Time) {
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -28,6 +28,8 @@
 // pendingCommit is one commit that waits or is in flight.
 type pendingCommit struct {
 	writer *writer
+	// token is the one under which it was sent.
+	token  int64
 	commit store.Commit
 	// done is called in the loop with the outcome, unless the term has ended.
 	done func(err error, now time.Time)
@@ -47,6 +49,7 @@
 	w.busy = true
 	pending := w.waiting[0]
 	w.waiting = w.waiting[1:]
+	pending.token = w.term.token
 	pending.commit.If = append(pending.commit.If, store.Condition{
 		Key:      w.term.keys().Lead,
 		Revision: w.term.token,
@@ -78,7 +81,7 @@
 	if err == nil {
 		w.sequence = revision
 	}
-	w.term.checkConflict(err, now)
+	w.term.checkConflict(pending.token, err, now)
 	if w.term.leader.term != w.term {
 		return
 	}
@@ -88,8 +91,9 @@
 
 // checkConflict handles a commit that failed on its conditions: the leadership
 // was lost or has lapsed, or an earlier commit whose answer was lost took
-// effect.
-func (t *term) checkConflict(err error, now time.Time) {
+// effect. A commit that was sent before the term was resumed says nothing about
+// the leadership.
+func (t *term) checkConflict(token int64, err error, now time.Time) {
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) || t.unoccupied {
 		return
@@ -103,12 +107,12 @@
 			sequence = item.Revision
 		}
 	}
-	if lead > t.token {
+	if token == t.token && lead > t.token {
 		t.leader.stepDown("a commit conflicted with another leader")
 		return
 	}
-	if lead != t.token {
-		t.observeLeadKey(Member{}, 0, now)
+	if token == t.token && lead != t.token {
+		t.lapse(now)
 	}
 	t.writer.sequence = sequence
 }
--- a/internal/process/leader/renewal.go
+++ b/internal/process/leader/renewal.go
@@ -55,8 +55,7 @@
 		t.actUntil = c.sent.Add(ActTerm)
 	case errors.Is(err, store.ErrNoLease):
 		klog.InfoS("leadership lease lapsed", "shard", t.leader.config.Shard, "token", t.token, "lease", t.lease)
-		t.unoccupied = true
-		t.leader.leadKeyRevision, t.leader.acquireAt = 0, now
+		t.lapse(now)
 	default:
 		klog.InfoS("leadership not renewed", "shard", t.leader.config.Shard, "token", t.token, "act_left", t.actUntil.Sub(now), "err", err)
 	}
