Keep the wait for unreachable workers across takeovers

Cause: a successor that cannot reach a worker assumes that the leader before it requested a lease until 3 s after the successor's own start.

Change: the leader records unreachable workers in the store with the time until their runs are over, and requests no lease of them before a record without them is stored; so a successor can count from what it reads. The wait for all others counts from the moment at which the former lead key was seen to be gone, not from the end of loading.

Ruled out: reckoning that the former leader has acted for at most 1 s beside its successor, because the lead key lives 2 s.

--- a/internal/process/leader/acquisition.go
+++ b/internal/process/leader/acquisition.go
@@ -21,6 +21,10 @@
 	// replace is the revision of the lead key to replace; zero if there is no
 	// lead key.
 	replace int64
+	// vacatedBy is the token of the last leader whose lead key was seen to be
+	// removed, vacantSince when.
+	vacatedBy   int64
+	vacantSince time.Time
 	// formerToken is the token of this host's lapsed term, which is resumed if
 	// nobody else has led since; zero without such a term.
 	formerToken int64
@@ -38,8 +42,14 @@
 	// placements is set if the progress records have the placements of all
 	// long-running tasks.
 	placements bool
-	// earlierToken is the token of the leader before, zero if there was none.
+	// earlierToken is the token of the leader before, zero if there was none, and
+	// earlierEnd when it is known to have lost the leadership.
 	earlierToken int64
+	earlierEnd   time.Time
+	// unreachable is, by worker, the time from unreachableAt until every run there
+	// is over, as far as that leader has recorded it.
+	unreachable   map[string]time.Duration
+	unreachableAt time.Time
 	// handover is what that leader wrote when it resigned, nil if it did not.
 	handover *schedule.Handover
 	// resignations are the last ones in favour of a better host, by cause, as far
@@ -83,6 +93,41 @@
 	return result, err
 }
 
+// termKeys are the keys that an acquisition reads before it writes the lead key.
+type termKeys struct {
+	epoch, placements, unreachable store.Item
+	// at is when all of them had been read.
+	at time.Time
+}
+
+// readTermKeys reads the keys at the same time: each call counts while nobody
+// leads. Errors: those of the store.
+func (a *acquisition) readTermKeys(ctx context.Context) (termKeys, error) {
+	keys := &a.leader.config.Keys
+	read := termKeys{}
+	items := map[string]*store.Item{
+		keys.Epoch:       &read.epoch,
+		keys.Placements:  &read.placements,
+		keys.Unreachable: &read.unreachable,
+	}
+	failed := make(chan error, len(items))
+	for key, item := range items {
+		go func() {
+			var err error
+			if *item, err = absentItem(a.leader.config.Store.Get(ctx, key)); err != nil {
+				err = fmt.Errorf("read key %s: %w", key, err)
+			}
+			failed <- err
+		}()
+	}
+	var err error
+	for range items {
+		err = errors.Join(err, <-failed)
+	}
+	read.at = a.leader.config.Clock()
+	return read, err
+}
+
 // writeLeadKey writes the lead key and the epoch under a new lease. Errors:
 // those of the store, such as a conflict if the lead key has changed.
 func (a *acquisition) writeLeadKey(ctx context.Context) (*acquisitionResult, error) {
@@ -90,11 +135,13 @@
 	defer cancel()
 	client := a.leader.config.Store
 	keys := &a.leader.config.Keys
-	epoch, err := client.Get(limited, keys.Epoch)
-	if err != nil && !errors.Is(err, store.ErrAbsent) {
-		return nil, fmt.Errorf("read key %s: %w", keys.Epoch, err)
+	read, err := a.readTermKeys(limited)
+	if err != nil {
+		return nil, err
 	}
-	placements, err := a.readPlacements(limited, epoch)
+	epoch, placements := read.epoch, placementsComplete(read.placements, read.epoch)
+	waits := unreachableWaits(read.unreachable, epoch.Revision)
+	unreachable, err := keys.unreachableWrite(0, waits)
 	if err != nil {
 		return nil, err
 	}
@@ -116,6 +163,10 @@
 				Key:      keys.Epoch,
 				Revision: epoch.Revision,
 			},
+			{
+				Key:      keys.Unreachable,
+				Revision: read.unreachable.Revision,
+			},
 		},
 		Set: []store.Write{
 			{
@@ -127,6 +178,7 @@
 				Key:   keys.Epoch,
 				Value: value,
 			},
+			unreachable,
 		},
 	}
 	if placements {
@@ -142,15 +194,31 @@
 		resumed:    a.formerToken != 0 && epoch.Revision == a.formerToken,
 		placements: placements,
 
-		earlierToken: epoch.Revision,
+		earlierToken:  epoch.Revision,
+		unreachable:   waits,
+		unreachableAt: read.at,
 	}
 	result.token, err = client.Commit(limited, commit)
+	result.earlierEnd = a.earlierEnd(epoch.Revision)
 	if errors.Is(err, store.ErrUnknown) {
 		return a.readBack(ctx, result, err)
 	}
 	return result, err
 }
 
+// earlierEnd returns when the leader with the token is known to have lost the
+// leadership. It has now, as there was no lead key, or one of an earlier process
+// of this host, which acts no more.
+func (a *acquisition) earlierEnd(token int64) time.Time {
+	switch {
+	case a.replace != 0:
+		return a.leader.createdAt.Add(-ActTerm)
+	case a.vacatedBy != 0 && a.vacatedBy == token:
+		return a.vacantSince
+	}
+	return a.leader.config.Clock()
+}
+
 // readBack finds out whether a write whose answer was lost has taken effect:
 // the lead key then has the lease that only this attempt was granted. Errors:
 // unknown if it has not, or if the store cannot tell.
@@ -162,6 +230,7 @@
 		return nil, unknown
 	}
 	result.token = item.Revision
+	result.earlierEnd = a.earlierEnd(result.earlierToken)
 	return result, nil
 }
 
--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -70,9 +70,11 @@
 
 // leadKeyRemoved handles that there was no lead key at a revision.
 func (l *Leader) leadKeyRemoved(revision int64, now time.Time) {
+	former := l.leadKey.revision
 	if !l.leadKey.remove(revision) {
 		return
 	}
+	l.vacatedBy, l.vacantSince = former, now
 	l.acquireAt = now.Add(l.config.AcquireDelay)
 	if l.yielding {
 		l.yielding, l.yieldUntil = false, now.Add(resignDelay)
@@ -111,8 +113,10 @@
 	}
 	l.acquiring = true
 	attempt := &acquisition{
-		leader:  l,
-		replace: l.leadKey.revision,
+		leader:      l,
+		replace:     l.leadKey.revision,
+		vacatedBy:   l.vacatedBy,
+		vacantSince: l.vacantSince,
 	}
 	if l.term != nil {
 		attempt.formerToken = l.term.token
@@ -158,6 +162,7 @@
 	case result.resumed && l.term != nil:
 		l.term.resume(result)
 		l.board.Begin(result.token, now)
+		l.board.WithholdLeases(result.unreachable)
 	case l.term != nil:
 		l.stepDown("replaced by a new term")
 		l.begin(ctx, result, now)
--- a/internal/process/leader/keys.go
+++ b/internal/process/leader/keys.go
@@ -38,6 +38,9 @@
 	// Placements names the newest leader whose progress records have the
 	// placements of all long-running tasks.
 	Placements string
+	// Unreachable is written by every acquisition, and when workers cease to answer
+	// or answer again.
+	Unreachable string
 	// Handover is written by a leader that resigns, along with the deletion of
 	// Lead.
 	Handover string
@@ -52,28 +55,30 @@
 func KeysOf(number, shards int) Keys {
 	if shards <= 1 {
 		return Keys{
-			Lead:       prefixRoot + "work/lead",
-			Epoch:      prefixRoot + "epoch",
-			Sequence:   prefixRoot + "sequence",
-			Roster:     prefixRoot + "roster",
-			Learned:    prefixRoot + "learned",
-			Placements: prefixRoot + "placements",
-			Handover:   prefixRoot + "handover",
-			work:       prefixRoot + "work/",
-			state:      prefixRoot + "state/",
+			Lead:        prefixRoot + "work/lead",
+			Epoch:       prefixRoot + "epoch",
+			Sequence:    prefixRoot + "sequence",
+			Roster:      prefixRoot + "roster",
+			Learned:     prefixRoot + "learned",
+			Placements:  prefixRoot + "placements",
+			Unreachable: prefixRoot + "unreachable",
+			Handover:    prefixRoot + "handover",
+			work:        prefixRoot + "work/",
+			state:       prefixRoot + "state/",
 		}
 	}
 	root := prefixRoot + "shard/" + strconv.Itoa(number) + "/"
 	return Keys{
-		Lead:       prefixLeads + strconv.Itoa(number),
-		Epoch:      root + "work/epoch",
-		Sequence:   root + "sequence",
-		Roster:     root + "roster",
-		Learned:    root + "learned",
-		Placements: root + "placements",
-		Handover:   root + "handover",
-		work:       root + "work/",
-		state:      root + "state/",
+		Lead:        prefixLeads + strconv.Itoa(number),
+		Epoch:       root + "work/epoch",
+		Sequence:    root + "sequence",
+		Roster:      root + "roster",
+		Learned:     root + "learned",
+		Placements:  root + "placements",
+		Unreachable: root + "unreachable",
+		Handover:    root + "handover",
+		work:        root + "work/",
+		state:       root + "state/",
 	}
 }
 
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -23,6 +23,12 @@
 	board   *schedule.Board
 	term    *term
 	leadKey leadKey
+	// vacatedBy is the token of the last leader whose lead key was seen to be
+	// removed, vacantSince when; zero if it is not known.
+	vacatedBy   int64
+	vacantSince time.Time
+	// createdAt is when this process began to compete.
+	createdAt time.Time
 	// acquireAt is when this host tries to acquire an unoccupied leadership.
 	acquireAt time.Time
 	// yielding is set from a resignation in favour of a better host until the
@@ -44,13 +50,17 @@
 
 // New returns a Leader; Run starts it.
 func New(config Config) *Leader {
-	return &Leader{
+	leader := &Leader{
 		config:         config,
 		events:         make(chan queuedEvent, eventBuffer),
 		callSlots:      make(chan struct{}, maxCalls),
 		catalog:        &catalog.Catalog{},
 		evacuatedZones: map[string]bool{},
 	}
+	if config.Clock != nil {
+		leader.createdAt = config.Clock()
+	}
+	return leader
 }
 
 // post sends an event to the loop.
@@ -163,6 +173,7 @@
 	l.board.LimitStarts(maxOrders - len(l.term.waiting))
 	allowed := now.Before(l.term.actUntil)
 	l.term.execute(l.board.Decide(now, allowed), now)
+	l.term.saveUnreachable(now)
 	l.term.saveProgress(now)
 	l.term.savePlacements(now)
 	l.term.deleteOldJobs(now)
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -103,13 +103,14 @@
 // leaseFor returns the longest lease that may be requested of a worker now.
 // None is requested while the worker's clock is unknown or once the leader may
 // no longer act unconfirmed: a successor that cannot reach the worker assumes
-// that no later lease was granted. Nor do polls of a worker that does not
-// answer request one, so that its runs end in bounded time.
+// that no later lease was granted. Nor do polls of a worker that does not answer
+// request one, or those of a worker in the record of unreachable workers, so that
+// its runs end in bounded time.
 func (t *term) leaseFor(workerLink *link, now time.Time) Lease {
 	lease := Lease{
 		Token: t.token,
 	}
-	if workerLink.clock > 0 && now.Before(t.actUntil) {
+	if workerLink.clock > 0 && now.Before(t.actUntil) && t.leader.board.MayRequestLease(workerLink.target.ID) {
 		lease.Until = workerLink.clock + now.Sub(workerLink.clockAt) + t.leader.config.Board.LeaseTerm
 		t.leader.board.LeaseExtended(workerLink.target.ID, now)
 	}
--- a/internal/process/leader/placements.go
+++ b/internal/process/leader/placements.go
@@ -1,8 +1,6 @@
 package leader
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -21,24 +19,19 @@
 	triedAt  time.Time
 }
 
-// readPlacements reports whether the records are complete up to the leader that
-// wrote the epoch. Errors: those of the store.
-func (a *acquisition) readPlacements(ctx context.Context, epoch store.Item) (bool, error) {
-	key := a.leader.config.Keys.Placements
-	item, err := a.leader.config.Store.Get(ctx, key)
-	if errors.Is(err, store.ErrAbsent) {
-		return epoch.Revision == 0, nil // without an earlier leader nothing runs
-	}
-	if err != nil {
-		return false, fmt.Errorf("read key %s: %w", key, err)
+// placementsComplete reports whether the records are complete up to the leader
+// that wrote the epoch, by the placements key.
+func placementsComplete(item, epoch store.Item) bool {
+	if item.Revision == 0 {
+		return epoch.Revision == 0 // without an earlier leader nothing runs
 	}
 	var token int64
 	if err := cbor.Unmarshal(item.Value, &token); err != nil {
 		klog.ErrorS(err, "placements key cannot be read", "revision", item.Revision)
-		return false, nil
+		return false
 	}
 	// A leader writes the key along with its lead key, or its token later.
-	return epoch.Revision != 0 && (item.Revision == epoch.Revision || token == epoch.Revision), nil
+	return epoch.Revision != 0 && (item.Revision == epoch.Revision || token == epoch.Revision)
 }
 
 // placementsWrite returns the write that says that the records are complete
--- a/internal/process/leader/takeover_test.go
+++ b/internal/process/leader/takeover_test.go
@@ -92,6 +92,88 @@
 	require.Eventually(t, func() bool { return state(second, "plan").State == work.Completed }, leaseTTL, 5*time.Millisecond)
 }
 
+// Guards against a wait for a crashed worker that the successor of a killed leader
+// began anew: long-running tasks stayed down for 9.4 s after the takeover.
+func TestSuccessorOfAKilledLeaderDoesNotRestartTheWaitForAWorker(t *testing.T) {
+	s := newSite(t)
+	_, kill := s.startLeader("recife-1")
+	s.submitLongRunning("server", "r1")
+	startedAt := func() string {
+		s.workers.mu.Lock()
+		defer s.workers.mu.Unlock()
+		return s.workers.startedAt[work.TaskKey{
+			Job: "server",
+		}]
+	}
+	require.Eventually(t, func() bool { return startedAt() == "w1" }, waitTimeout, time.Millisecond)
+	s.leave("w1")
+	leftAt := time.Now()
+	s.relabel("w0", "r1")
+	require.Eventually(t, func() bool {
+		item, err := s.store.Client().Get(t.Context(), soloKeys.Unreachable)
+		epoch, _ := s.store.Client().Get(t.Context(), soloKeys.Epoch)
+		_, listed := unreachableWaits(item, epoch.Revision)["w1"]
+		return err == nil && listed
+	}, waitTimeout, time.Millisecond)
+	kill()
+	s.startLeader("olinda-1")
+	require.Eventually(t, func() bool { return startedAt() == "w0" }, 2*waitTimeout, time.Millisecond)
+	assert.Less(t, time.Since(leftAt), s.leaderConfig("").Board.LeaseTerm+ActTerm, "the successor began the wait anew")
+}
+
+// Guards against a record of unreachable workers that a leader of an earlier
+// release has not kept up: it has led since, and may have requested leases.
+func TestUnreachableRecordOfAnEarlierLeaderIsIgnored(t *testing.T) {
+	write, err := soloKeys.unreachableWrite(7, map[string]time.Duration{"w1": time.Second})
+	require.NoError(t, err)
+	along, err := soloKeys.unreachableWrite(0, map[string]time.Duration{"w1": time.Second})
+	require.NoError(t, err)
+	tests := map[string]struct {
+		item  store.Item
+		epoch int64
+		want  int
+	}{
+		"of the leader before": {
+			item: store.Item{
+				Value:    write.Value,
+				Revision: 8,
+			},
+			epoch: 7,
+			want:  1,
+		},
+		"written along with its lead key": {
+			item: store.Item{
+				Value:    along.Value,
+				Revision: 9,
+			},
+			epoch: 9,
+			want:  1,
+		},
+		"of one before that": {
+			item: store.Item{
+				Value:    write.Value,
+				Revision: 8,
+			},
+			epoch: 9,
+		},
+		"unreadable": {
+			item: store.Item{
+				Value:    []byte{0xff},
+				Revision: 9,
+			},
+			epoch: 9,
+		},
+		"absent": {
+			epoch: 9,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Len(t, unreachableWaits(tt.item, tt.epoch), tt.want)
+		})
+	}
+}
+
 // A handover says nothing about the starts of a leader that came after it.
 func TestHandoverOfAnEarlierLeaderIsIgnored(t *testing.T) {
 	s := newSite(t)
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -47,14 +47,15 @@
 	// decideDue is when the next decision is due, zero if none is.
 	decideDue time.Time
 
-	savingProgress  bool
-	progressSavedAt time.Time
-	jobsDeletedAt   time.Time
-	roster          rosterState
-	placements      placementsState
-	learned         learnedState
-	writer          writer
-	summarisedAt    time.Time
+	savingProgress    bool
+	savingUnreachable bool
+	progressSavedAt   time.Time
+	jobsDeletedAt     time.Time
+	roster            rosterState
+	placements        placementsState
+	learned           learnedState
+	writer            writer
+	summarisedAt      time.Time
 	// reportedWaits are the waits for preferred racks that were logged and counted.
 	reportedWaits schedule.WaitCounts
 	urgentCounts  schedule.UrgentCounts
@@ -98,8 +99,10 @@
 	l.board.SetCatalog(l.catalog)
 	l.board.Evacuate(l.evacuatedZones)
 	l.board.Begin(result.token, now)
+	l.board.EarlierTermEnded(result.earlierEnd)
 	l.board.RestoreLearned(result.learned, now)
 	l.board.AddRoster(result.roster, now)
+	l.board.ApplyUnreachable(result.unreachable, result.unreachableAt)
 	t.roster.stored = rosterTargets(result.roster)
 	for _, job := range result.jobs {
 		t.owners.add(job)
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -61,8 +61,9 @@
 	// lastScan is when all runs were last checked for stalled tasks and unanswered
 	// stops.
 	lastScan time.Time
-	// termStart is when leadership was acquired.
-	termStart time.Time
+	// termStart is when leadership was acquired. earlierTermEnd is when the leader
+	// before is known to have lost it.
+	termStart, earlierTermEnd time.Time
 	// runs counts the starts under this token.
 	runs int64
 	// fenced is set once a worker has refused the token as outdated.
@@ -107,6 +108,7 @@
 	// leader.
 	quotas          *quota.Book
 	possiblyRunning []*job
+	unreachable     unreachable
 	// placement decides on waits for preferred racks.
 	placement *placement
 }
@@ -131,7 +133,10 @@
 		lost:           map[string]*lostWorker{},
 		quotas:         quota.NewBook(config.Shard, config.Shards),
 		placement:      newPlacement(),
-		startsLeft:     math.MaxInt,
+		unreachable: unreachable{
+			withheld: map[string]bool{},
+		},
+		startsLeft: math.MaxInt,
 	}
 }
 
@@ -146,12 +151,18 @@
 // Begin starts a term under a token above all earlier ones. The known jobs and
 // workers are kept, but every worker has to report again.
 func (b *Board) Begin(token int64, now time.Time) {
-	b.token, b.termStart, b.now, b.runs, b.fenced = token, now, now, 0, false
+	b.token, b.termStart, b.earlierTermEnd, b.now, b.runs, b.fenced = token, now, now, now, 0, false
 	for _, w := range b.workers {
 		w.reportedToken, w.settledToken = 0, 0
 	}
 }
 
+// EarlierTermEnded records when the leader before is known to have lost the
+// leadership, if that is earlier than the start of this term.
+func (b *Board) EarlierTermEnded(at time.Time) {
+	b.earlierTermEnd = earlier(b.earlierTermEnd, at)
+}
+
 // Fenced reports whether a worker has seen a higher token than this leader's.
 func (b *Board) Fenced() bool {
 	return b.fenced
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -89,7 +89,7 @@
 			}
 			continue
 		}
-		if !w.reachable {
+		if !w.reachable || !b.MayRequestLease(w.ID) {
 			// Sending it would extend the leases of the worker's runs.
 			later = append(later, start)
 			continue
--- a/internal/process/schedule/handover.go
+++ b/internal/process/schedule/handover.go
@@ -82,7 +82,7 @@
 func (b *Board) ApplyHandover(handover Handover) {
 	for id, wait := range handover.Waits {
 		if w := b.workers[id]; w != nil && w.reportedToken != b.token {
-			w.leaseEnd = earlier(w.leaseEnd, b.termStart.Add(wait))
+			w.leaseEnd = earlier(w.leaseEnd, b.earlierTermEnd.Add(wait))
 		}
 	}
 	for _, j := range b.inheritedJobs() {
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -65,6 +65,7 @@
 		w.leaseEnd = now.Add(b.longestLease())
 	}
 	w.reportedToken, w.lastReport, w.reachable, w.closed = b.token, now, true, false
+	w.lost = false
 	if !inventory.EndsOmitted {
 		w.settledToken = b.token
 	}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -63,7 +63,7 @@
 }
 
 func (b *Board) usable(w *workerState, now time.Time) bool {
-	return w.listed && !w.Draining && w.reachable && w.reportedToken == b.token &&
+	return w.listed && !w.Draining && w.reachable && b.MayRequestLease(w.ID) && w.reportedToken == b.token &&
 		!b.evacuated[w.Zone] && now.After(w.blockedUntil)
 }
 
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -137,6 +137,10 @@
 	endsListed int
 	// storeDown fails all writes.
 	storeDown bool
+	// recordsUnreachable is set if leaders write the record of unreachable workers;
+	// unreachable is the record in the store.
+	recordsUnreachable bool
+	unreachable        map[string]time.Duration
 	// gangs is set if the first steps of jobs are gangs.
 	gangs bool
 }
@@ -198,6 +202,7 @@
 		sim.board.RestoreLearned(sim.quotas.learned, sim.now)
 	}
 	sim.board.AddRoster(sim.roster, sim.now)
+	sim.board.ApplyUnreachable(sim.unreachable, sim.now)
 	for id, spec := range sim.specs {
 		var progress *work.Progress
 		if saved, ok := sim.progress[id]; ok {
@@ -366,6 +371,7 @@
 
 func (sim *simulation) send(board *Board, start Start) {
 	until := sim.now.Add(testLeaseTerm)
+	require.True(sim.t, board.MayRequestLease(start.Worker), "a start requests a lease")
 	board.LeaseExtended(start.Worker, sim.now)
 	fate := sim.startFate()
 	simWorker := sim.workers[start.Worker]
@@ -437,7 +443,7 @@
 	if omitted {
 		kept = kept[:sim.endsListed]
 	}
-	if len(simWorker.running) > 0 || board == sim.board {
+	if (len(simWorker.running) > 0 || board == sim.board) && board.MayRequestLease(id) {
 		simWorker.until = later(simWorker.until, sim.now.Add(testLeaseTerm))
 		board.LeaseExtended(id, sim.now)
 	}
@@ -486,6 +492,23 @@
 	}
 }
 
+// writeUnreachable stores the record of unreachable workers. The answer may be
+// lost.
+func (sim *simulation) writeUnreachable() {
+	if !sim.recordsUnreachable {
+		return
+	}
+	waits, due := sim.board.UnreachableWorkers(sim.now)
+	if !due {
+		return
+	}
+	outcome := rapid.SampledFrom([]string{"written", "written", "unanswered", "lost"}).Draw(sim.t, "record")
+	if outcome != "lost" {
+		sim.unreachable = waits
+	}
+	sim.board.UnreachableWritten(waits, outcome == "written")
+}
+
 // advance moves the time forward by one step.
 func (sim *simulation) advance() {
 	sim.now = sim.now.Add(simulationStep)
@@ -579,6 +602,7 @@
 			sim.poll(sim.board, id)
 		}
 	}
+	sim.writeUnreachable()
 	sim.write()
 	sim.decide(sim.board, true)
 	if sim.previous != nil && sim.now.Before(sim.previousUntil) {
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -13,7 +13,7 @@
 // earlierLeaseEnd is when every run that an earlier leader may have started or
 // extended is over on a worker that has not reported to this one.
 func (b *Board) earlierLeaseEnd() time.Time {
-	return b.termStart.Add(b.config.ActTerm).Add(b.longestLease())
+	return b.earlierTermEnd.Add(b.config.ActTerm).Add(b.longestLease())
 }
 
 // longestLease is the longest time from a call that extends a worker's leases
--- /dev/null
+++ b/internal/process/schedule/unreachable.go
@@ -0,0 +1,107 @@
+package schedule
+
+import "time"
+
+const (
+	// unreachableGap is the least time between two records of unreachable workers,
+	// unless one of them answers again. unreachableRetryGap replaces it after a
+	// write that failed.
+	unreachableGap      = 100 * time.Millisecond
+	unreachableRetryGap = 500 * time.Millisecond
+	// unreachableInterval is how often the record is written while runs of its
+	// workers may go on. A successor waits that much longer at most.
+	unreachableInterval = time.Second
+)
+
+// unreachable is the state of the record of unreachable workers. Load pattern:
+// workers crash, and leaders are lost before the leases of the workers' runs are
+// over. Without the record each successor has to assume that the leader before it
+// reached the workers until its end, and waits for the longest lease anew.
+type unreachable struct {
+	// withheld holds the workers in the record in the store, or in one that may
+	// still get there. No lease is requested of them: what the record says of the
+	// end of their runs stays true whenever it is read, and under later leaders.
+	withheld map[string]bool
+	// triedAt is when the record was last written, and failed is set if that was
+	// in vain.
+	triedAt time.Time
+	failed  bool
+	// runsGoOn is set if the last record said that runs may go on.
+	runsGoOn bool
+}
+
+// MayRequestLease reports whether a lease may be requested of a worker.
+func (b *Board) MayRequestLease(id string) bool {
+	return !b.unreachable.withheld[id]
+}
+
+// UnreachableWorkers returns, by worker, the time until every run is over on the
+// workers that do not answer, if that has to be written to the store. From here on
+// no lease is requested of them.
+func (b *Board) UnreachableWorkers(now time.Time) (waits map[string]time.Duration, due bool) {
+	state := &b.unreachable
+	waits = map[string]time.Duration{}
+	added, runsGoOn := false, false
+	for id, w := range b.workers {
+		if !w.lost && (!state.withheld[id] || w.reachable) {
+			continue
+		}
+		waits[id] = max(0, w.leaseEnd.Sub(now))
+		added = added || !state.withheld[id]
+		runsGoOn = runsGoOn || waits[id] > 0
+	}
+	answered := false
+	for id := range state.withheld {
+		if _, ok := waits[id]; !ok {
+			answered = true
+		}
+	}
+	passed := now.Sub(state.triedAt)
+	switch {
+	case state.failed:
+		due = passed >= unreachableRetryGap
+	default:
+		due = answered || added && passed >= unreachableGap || state.runsGoOn && passed >= unreachableInterval
+	}
+	if !due {
+		return nil, false
+	}
+	state.triedAt, state.runsGoOn = now, runsGoOn
+	for id := range waits {
+		state.withheld[id] = true
+	}
+	return waits, true
+}
+
+// UnreachableWritten records the outcome of a write. One that failed may still
+// take effect.
+func (b *Board) UnreachableWritten(waits map[string]time.Duration, ok bool) {
+	b.unreachable.failed = !ok
+	if !ok {
+		return
+	}
+	for id := range b.unreachable.withheld {
+		if _, listed := waits[id]; !listed {
+			delete(b.unreachable.withheld, id)
+		}
+	}
+}
+
+// ApplyUnreachable applies the record that the leaders before have left, as it
+// was in the store at a time.
+func (b *Board) ApplyUnreachable(waits map[string]time.Duration, at time.Time) {
+	b.WithholdLeases(waits)
+	for id, wait := range waits {
+		b.unreachable.runsGoOn = b.unreachable.runsGoOn || wait > 0
+		if w := b.workers[id]; w != nil && w.reportedToken != b.token {
+			w.leaseEnd = earlier(w.leaseEnd, at.Add(wait))
+		}
+	}
+}
+
+// WithholdLeases records which workers are in the record in the store.
+func (b *Board) WithholdLeases(waits map[string]time.Duration) {
+	for id := range waits {
+		b.unreachable.withheld[id] = true
+	}
+}
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -51,6 +51,8 @@
 	// worker was last found unreachable.
 	firstReport, lostAt time.Time
 	reachable           bool
+	// lost is set while the worker does not answer this leader.
+	lost bool
 	// leaseEnd is when every run there is over if nothing more is sent.
 	leaseEnd time.Time
 	claims   map[work.TaskKey]*claim
@@ -212,6 +214,7 @@
 // MarkUnreachable records that a worker did not answer.
 func (b *Board) MarkUnreachable(id string, now time.Time) {
 	if w := b.workers[id]; w != nil {
+		w.lost = true
 		w.markLost(now)
 	}
 }
