Leave a lapsed leadership to the former leader after an outage

After an outage of the store in which the lead key lapses, another host takes the lead before the former leader has noticed the end of the outage. The successor cannot know when a worker was lost that crashed during the outage (no record could be written), and waits 9.4 s for it.

Cause: all hosts learn of the removal at the same time, and whoever sees it first acquires the lead.

Change: a host whose own watch of the lead key has failed waits until the former leader had time for a renewal and its timeout (1.3 s after that failure), besides its usual delay. Hosts that have not seen an outage do not wait.

Test: TestFormerLeaderGoesFirstAfterAnOutage.

--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -14,6 +14,7 @@
 // observeLeadKey updates the state of the lead key from a view.
 func (l *Leader) observeLeadKey(view store.View, now time.Time) {
 	if view.Err != nil {
+		l.watchFailedAt = view.Seen
 		return
 	}
 	if view.Snapshot {
@@ -70,12 +71,15 @@
 
 // leadKeyRemoved handles that there was no lead key at a revision.
 func (l *Leader) leadKeyRemoved(revision int64, now time.Time) {
-	former := l.leadKey.revision
+	former, formerHost := l.leadKey.revision, l.leadKey.member.Host
 	if !l.leadKey.remove(revision) {
 		return
 	}
 	l.vacatedBy, l.vacantSince = former, now
 	l.acquireAt = now.Add(l.config.AcquireDelay)
+	if former != 0 && formerHost != l.config.Self.Host {
+		l.acquireAt = later(l.acquireAt, l.watchFailedAt.Add(resumeTime+l.config.AcquireDelay))
+	}
 	if l.yielding {
 		l.yielding, l.yieldUntil = false, now.Add(resignDelay)
 	}
@@ -86,6 +90,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (l *Leader) leaderChanged() {
 	l.config.LeaderChanged(l.leadKey.member)
 	klog.InfoS("leader changed", "shard", l.config.Shard, "host", l.leadKey.member.Host, "token", l.leadKey.revision)
--- a/internal/process/leader/compete_test.go
+++ b/internal/process/leader/compete_test.go
@@ -71,6 +71,78 @@
 	s.waitCompleted(leading, "b")
 }
 
+// Guards against a successor that waits for crashed workers though the leader
+// before it knows better: the lead key lapsed in an outage of the store, and
+// another host took the lead before the former leader had noticed its end.
+func TestFormerLeaderGoesFirstAfterAnOutage(t *testing.T) {
+	const acquireDelay = 100 * time.Millisecond
+	now := time.Now()
+	tests := map[string]struct {
+		former   string
+		failedAt time.Time
+		want     time.Duration
+	}{
+		"outage just over": {
+			former:   "olinda-1",
+			failedAt: now.Add(-200 * time.Millisecond),
+			want:     resumeTime - 200*time.Millisecond + acquireDelay,
+		},
+		"outage long ago": {
+			former:   "olinda-1",
+			failedAt: now.Add(-time.Minute),
+			want:     acquireDelay,
+		},
+		"no outage": {
+			former: "olinda-1",
+			want:   acquireDelay,
+		},
+		"lead key of this host": {
+			former:   "recife-1",
+			failedAt: now,
+			want:     acquireDelay,
+		},
+		"nobody has led": {
+			failedAt: now,
+			want:     acquireDelay,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			host := New(Config{
+				Self: Member{
+					Host: "recife-1",
+				},
+				Keys:          soloKeys,
+				AcquireDelay:  acquireDelay,
+				LeaderChanged: func(Member) {},
+			})
+			if tt.former != "" {
+				host.leadKeySet(Member{
+					Host: tt.former,
+				}, 5)
+			}
+			if !tt.failedAt.IsZero() {
+				host.observeLeadKey(store.View{
+					Seen: tt.failedAt,
+					Err:  store.ErrUnavailable,
+				}, tt.failedAt)
+			}
+			host.observeLeadKey(store.View{
+				Events: []store.Event{
+					{
+						Item: store.Item{
+							Key:      soloKeys.Lead,
+							Revision: 7,
+						},
+						Removed: true,
+					},
+				},
+			}, now)
+			assert.Equal(t, tt.want, host.acquireAt.Sub(now))
+		})
+	}
+}
+
 // token returns the token of the leader's term, zero without one.
 func (s *site) token(l *Leader) int64 {
 	token := make(chan int64, 1)
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -122,6 +122,10 @@
 	leaseTTL      = 2 * time.Second
 	renewInterval = 500 * time.Millisecond
 	callTimeout   = 800 * time.Millisecond
+	// resumeTime is how long a leader may take to find out that the store answers
+	// again. After an outage the other hosts leave a lapsed leadership to it for so
+	// long: it knows where all tasks run, and a successor has to find out.
+	resumeTime = renewInterval + callTimeout
 	// pageRetryGap is the pause after a page of a listing that could not be read.
 	pageRetryGap = 100 * time.Millisecond
 	// pollWait is how long a poll waits for a run to end. Workers' leases are
--- a/internal/process/leader/group.go
+++ b/internal/process/leader/group.go
@@ -87,11 +87,8 @@
 
 // observeLeadKeys passes a view to the leaders whose key it concerns.
 func (g *Group) observeLeadKeys(view store.View) {
-	if view.Err != nil {
-		return
-	}
 	for _, each := range g.leaders {
-		if view.Snapshot || each.concerns(view.Events) {
+		if view.Err != nil || view.Snapshot || each.concerns(view.Events) {
 			each.post(func(now time.Time) { each.observeLeadKey(view, now) })
 		}
 	}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -27,6 +27,8 @@
 	// removed, vacantSince when; zero if it is not known.
 	vacatedBy   int64
 	vacantSince time.Time
+	// watchFailedAt is when the watch of the lead key last failed.
+	watchFailedAt time.Time
 	// createdAt is when this process began to compete.
 	createdAt time.Time
 	// acquireAt is when this host tries to acquire an unoccupied leadership.
