Use no entry of the list of workers that cannot be read or held

Reported by other operators: one odd entry of another writer (deeply nested, a number too large, a port out of range) ended the processes that read the list, or they ceased to follow it.

No process ended and the list was followed, on the code before as well: encoding/json bounds the depth, and an entry that cannot be decoded names no worker.

The discovery list of serve used what was decoded of an entry before the error, with its address (TestOddDiscoveryEntryIsNotUsed, failed before for a number too large and a field of another type).

--- a/internal/process/host/backends.go
+++ b/internal/process/host/backends.go
@@ -45,6 +45,7 @@
 		var entry listEntry
 		if err := json.Unmarshal(pair.Value, &entry); err != nil {
 			klog.ErrorS(err, "discovery list entry cannot be decoded", "key", string(pair.Key))
+			entry = listEntry{} // what was decoded before the error is not used
 		}
 		b.entries[string(pair.Key)] = entry
 	}
