Give up an acquisition whose term has ended meanwhile

Cause: an acquisition that resumes a term loads nothing. If the term had ended meanwhile, by a SIGTERM, a resignation for a better host or a fence, a new term was begun from the empty result.

Change: such an acquisition is given up: the lead key is removed, with the handover of the term that it would have resumed. Resign waits for an acquisition in flight. A resignation after the lead key has lapsed writes its handover, on the condition that nobody has led since.

--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -132,7 +132,7 @@
 	if l.term != nil {
 		attempt.formerToken = l.term.token
 	}
-	go attempt.run(ctx)
+	l.spawn(func() { attempt.run(ctx) })
 }
 
 // formerIncarnationLeads reports whether the lead key names an earlier process
@@ -159,6 +159,10 @@
 		if l.term == nil {
 			l.dropDuty()
 		}
+		if leaving := l.leaving; leaving != nil {
+			l.leaving = nil
+			l.spawn(func() { leaving.run(ctx) })
+		}
 		klog.InfoS("leadership not taken", "shard", l.config.Shard, "err", err)
 		l.acquireAt = now.Add(l.config.AcquireDelay + renewInterval/2)
 		var conflict *store.ConflictError
@@ -167,6 +171,10 @@
 		}
 		return
 	}
+	if l.mustGiveUp(result) {
+		l.giveUp(ctx, result, now)
+		return
+	}
 	l.config.Counts.Add("leadership_taken", 1)
 	klog.InfoS("leadership taken", "shard", l.config.Shard, "token", result.token, "resumed", result.resumed, "jobs", len(result.jobs))
 	switch {
--- a/internal/process/leader/handover.go
+++ b/internal/process/leader/handover.go
@@ -29,14 +29,18 @@
 type resignation struct {
 	store store.Client
 	keys  Keys
-	// revision is the lead key's in the term that ends.
+	// revision is that of the lead key to remove, zero if it has lapsed.
 	revision int64
-	handover handoverRecord
+	// handover is nil if nothing is known.
+	handover *handoverRecord
 	done     chan struct{}
 }
 
 func (r *resignation) run(ctx context.Context) {
 	defer close(r.done)
+	if r.revision == 0 && r.handover == nil {
+		return
+	}
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	commit := store.Commit{
@@ -46,23 +50,27 @@
 				Revision: r.revision,
 			},
 		},
-		Delete: []string{r.keys.Lead},
 	}
-	value, err := r.encode()
-	switch {
-	case err != nil:
-		klog.ErrorS(err, "handover cannot be encoded", "token", r.revision)
-	default:
-		commit.Set = []store.Write{
-			{
-				Key:   r.keys.Handover,
-				Value: value,
-			},
+	if r.revision != 0 {
+		commit.Delete = []string{r.keys.Lead}
+	}
+	fields := []any{"token", r.revision}
+	if r.handover != nil {
+		value, err := r.encode()
+		if err != nil {
+			klog.ErrorS(err, "handover cannot be encoded", "token", r.revision)
+		} else {
+			commit.Set = []store.Write{
+				{
+					Key:   r.keys.Handover,
+					Value: value,
+				},
+			}
 		}
+		fields = append(fields, "workers", len(r.handover.Claims), "uncertain", len(r.handover.Uncertain), "bytes", len(value))
 	}
-	_, err = r.store.Commit(limited, commit)
-	klog.InfoS("leadership resigned", "token", r.revision, "workers", len(r.handover.Claims), "uncertain", len(r.handover.Uncertain),
-		"bytes", len(value), "err", err)
+	_, err := r.store.Commit(limited, commit)
+	klog.InfoS("leadership resigned", append(fields, "err", err)...)
 }
 
 // resignationsAfter returns the resignations for a leader that follows the one
--- a/internal/process/leader/handover_test.go
+++ b/internal/process/leader/handover_test.go
@@ -118,7 +118,7 @@
 		claims[fmt.Sprintf("worker-with-a-long-name-%d", index)] = nil
 	}
 	large := &resignation{
-		handover: handoverRecord{
+		handover: &handoverRecord{
 			Handover: schedule.Handover{
 				Token:  7,
 				Claims: claims,
--- a/internal/process/leader/lagwatch.go
+++ b/internal/process/leader/lagwatch.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"k8s.io/klog/v2"
-
-	"mustardreach.example/mustardreach/internal/process/schedule"
 )
 
 // resignDelay is how much later than other hosts a host that resigned for lag
@@ -158,29 +156,5 @@
 	klog.InfoS("leader resigns", l.term.lagFields(sample, verdict)...)
 	l.lag.judge.resigned(verdict.cause, sample.at)
 	l.yielding, l.yieldUntil = true, sample.at.Add(resignDelay)
-	resignation := l.newResignation(sample.at)
-	l.stepDown("resigned for " + string(verdict.cause))
-	go resignation.run(ctx)
-}
-
-// newResignation returns the resignation of the current term. Orders that have
-// not left this host are taken back, so that the successor waits for no worker
-// because of them.
-func (l *Leader) newResignation(now time.Time) *resignation {
-	for _, queued := range l.term.waiting {
-		if queued.start != nil {
-			l.board.StartReplied(*queued.start, schedule.NotSent, now)
-		}
-	}
-	l.term.waiting = nil
-	return &resignation{
-		store:    l.config.Store,
-		keys:     l.config.Keys,
-		revision: l.term.token,
-		handover: handoverRecord{
-			Handover:     l.board.Handover(now),
-			Resignations: l.lag.judge.past(now),
-		},
-		done: make(chan struct{}),
-	}
+	l.resign(ctx, "resigned for "+string(verdict.cause), sample.at)
 }
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -35,10 +35,13 @@
 	acquireAt time.Time
 	// yielding is set from a resignation in favour of a better host until the
 	// lead key is gone; until yieldUntil this host leaves the leadership to others.
-	yielding       bool
-	yieldUntil     time.Time
-	lag            lagWatch
+	yielding   bool
+	yieldUntil time.Time
+	lag        lagWatch
+	// acquiring is set while an acquisition is in flight, and leaving if its outcome
+	// is to be given up.
 	acquiring      bool
+	leaving        *resignation
 	catalog        *catalog.Catalog
 	evacuatedZones map[string]bool
 	decidedAt      time.Time
@@ -48,6 +51,8 @@
 
 	// leading is also read by other goroutines.
 	leading atomic.Bool
+	// spawn runs a task in a goroutine of its own.
+	spawn func(task func())
 }
 
 // New returns a Leader; Run starts it.
@@ -58,6 +63,7 @@
 		callSlots:      make(chan struct{}, maxCalls),
 		catalog:        &catalog.Catalog{},
 		evacuatedZones: map[string]bool{},
+		spawn:          func(task func()) { go task() },
 	}
 	if config.Clock != nil {
 		leader.createdAt = config.Clock()
@@ -237,22 +243,20 @@
 }
 
 // Resign gives up the leadership for good, so that another host can acquire it
-// at once. It waits for the removal of the lead key until the context ends.
+// at once. It waits for the removal of the lead key until the context ends, also
+// for that of an acquisition in flight.
 func (l *Leader) Resign(ctx context.Context) {
-	done := make(chan struct{})
+	resigning := make(chan (<-chan struct{}), 1)
 	l.post(func(now time.Time) {
 		l.stopping = true
-		if l.term == nil {
-			close(done)
-			return
-		}
-		resignation := l.newResignation(now)
-		resignation.done = done
-		l.stepDown("resigned")
-		go resignation.run(ctx)
+		resigning <- l.resign(ctx, "resigned", now)
 	})
 	select {
-	case <-done:
+	case done := <-resigning:
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
 	case <-ctx.Done():
 	}
 }
--- a/internal/process/leader/renewal.go
+++ b/internal/process/leader/renewal.go
@@ -28,7 +28,7 @@
 		token: t.token,
 		sent:  now,
 	}
-	go renewal.run(ctx)
+	t.leader.spawn(func() { renewal.run(ctx) })
 }
 
 // renewalCall is one renewal in flight.
