Blame a task for a crash only if it has not outlived its start

Cause: a crash counted against each run that the worker had not listed for a whole lease term (6 s).

Tests: two more cases of TestTaskIsNotGivenUpForOtherEnds; TestTaskIsGivenUpThoughCrashesAreNoticedLate for crashes without a word.

--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -24,6 +24,9 @@
 // connection.
 var ErrClosed = errors.New("worker closed the connection")
 
+// ErrBroken is returned by a poll whose connection broke before the answer.
+var ErrBroken = errors.New("connection to worker broke")
+
 // Target is the worker that a call is sent to.
 type Target struct {
 	ID      string
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -160,6 +160,9 @@
 		}
 		k.lost, k.withoutAck = true, true
 		k.due = now.Add(pollRetryGap)
+		if errors.Is(err, ErrBroken) || errors.Is(err, ErrClosed) {
+			board.ConnectionBroken(k.target.ID, now)
+		}
 		board.MarkUnreachable(k.target.ID, now)
 		if errors.Is(err, ErrClosed) {
 			board.Closed(k.target.ID)
--- a/internal/process/schedule/crashes.go
+++ b/internal/process/schedule/crashes.go
@@ -20,6 +20,9 @@
 	// as many. A task may be started five times; one crash may go uncounted,
 	// under a leader that is replaced before it counts the first.
 	maxDoubtfulCrashes = 4
+	// startupTime is how long a run must last to have outlived its start: it did
+	// not crash its worker by it.
+	startupTime = time.Second
 )
 
 // Crash is a worker whose process ended without warning.
@@ -52,7 +55,7 @@
 }
 
 // suspectsOn returns the runs that the worker may have crashed under. Runs that
-// it has listed for a whole lease term did not crash it by their start. Starts
+// have outlived their start did not crash it by it. Starts
 // without an answer may not have reached it, but a worker may crash before it
 // answers: they count for tasks with enough crashes besides.
 func (b *Board) suspectsOn(w *workerState) []suspectRun {
@@ -63,7 +66,7 @@
 	for key, held := range w.claims {
 		j := b.open[key.Job]
 		reached := held.confirmed || held.unanswered > 0 && held.suspicion >= enoughCrashes
-		if j == nil || !reached || held.orphaned || held.outlived(b.config.LeaseTerm) {
+		if j == nil || !reached || held.orphaned || w.outlivedStart(held) {
 			continue
 		}
 		out = append(out, suspectRun{
@@ -75,9 +78,10 @@
 	return out
 }
 
-// outlived reports whether the worker has listed the run for at least the term.
-func (c *claim) outlived(term time.Duration) bool {
-	return c.confirmedAt.Sub(c.started) >= term
+// outlivedStart reports whether a run is known to have lasted for startupTime: the
+// worker has listed it that much later, or its connection broke no sooner.
+func (w *workerState) outlivedStart(held *claim) bool {
+	return held.confirmed && max(held.confirmedAt.Sub(held.started), w.brokenAt.Sub(held.started)) >= startupTime
 }
 
 // sharesFate reports whether no other worker of the worker's zone or rack has
@@ -252,11 +256,11 @@
 	return j, t
 }
 
-// clearSuspect drops the crashes counted against a task that has run for a
-// lease term: it did not cause them.
+// clearSuspect drops the crashes counted against a task that has outlived its
+// start: it did not cause them.
 func (b *Board) clearSuspect(w *workerState, key work.TaskKey, held *claim) {
 	j, t := b.openTask(key)
-	if t == nil || t.run != held.run || len(t.crashes) == 0 || !held.outlived(b.config.LeaseTerm) {
+	if t == nil || t.run != held.run || len(t.crashes) == 0 || !w.outlivedStart(held) {
 		return
 	}
 	t.crashes = nil
--- a/internal/process/schedule/crashes_test.go
+++ b/internal/process/schedule/crashes_test.go
@@ -300,6 +300,16 @@
 			f.pass(2 * testLeaseTerm)
 			f.replace(id)
 		},
+		"task has outlived its start": func(f *crashFleet, id string) {
+			f.pass(startupTime)
+			f.replace(id)
+		},
+		"connection broke after the start": func(f *crashFleet, id string) {
+			f.pass(startupTime / 2) // one report lists the run
+			f.now = f.now.Add(startupTime / 2)
+			f.board.ConnectionBroken(id, f.now)
+			f.replace(id)
+		},
 		"worker leaves for good": func(f *crashFleet, id string) {
 			old := f.listings[id]
 			f.isolate(id)
@@ -371,6 +381,24 @@
 	assert.Equal(t, work.Failed, fleet.board.jobs["a"].progress.State)
 }
 
+// Guards against a task that crashes worker after worker and is not given up: the
+// worker crashed without a word, and its end was noticed after startupTime.
+func TestTaskIsGivenUpThoughCrashesAreNoticedLate(t *testing.T) {
+	fleet := newCrashFleet(3)
+	fleet.submit(testJob("a", "plans", tasks(1, 1000)))
+	for range maxCrashes {
+		starts := fleet.decide()
+		require.Len(t, starts, 1)
+		crashed := starts[0].Worker
+		listing := fleet.listings[crashed]
+		delete(fleet.listings, crashed)
+		fleet.pass(2 * startupTime) // its polls have timed out
+		fleet.listings[crashed] = listing
+		fleet.replace(crashed)
+	}
+	assert.Equal(t, work.Failed, fleet.board.jobs["a"].progress.State)
+}
+
 // Crashes count only in a row: a long-running task has outlived its worker's
 // start of it many times before the third crash of its life.
 func TestRunThatLastsClearsItsTask(t *testing.T) {
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -37,8 +37,8 @@
 	wait *wait
 	// failures lists the runs that failed.
 	failures []int64
-	// crashes lists the runs that may have crashed their workers, since the last
-	// one that ran for a lease term. With those of an earlier leader it may list
+	// crashes lists the runs that may have crashed their workers by their start,
+	// since the last one that outlived it. With those of an earlier leader it may list
 	// the current run.
 	crashes []int64
 	// avoid is the worker on which the task failed last.
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -51,6 +51,8 @@
 	// worker was last found unreachable.
 	firstReport, lostAt time.Time
 	reachable           bool
+	// brokenAt is when a connection to it broke: its process ran until then.
+	brokenAt time.Time
 	// lost is set while the worker does not answer this leader.
 	lost bool
 	// leaseEnd is when every run there is over if nothing more is sent.
@@ -219,6 +221,14 @@
 	}
 }
 
+// ConnectionBroken records that the connection of a poll broke, and did not just
+// time out: the worker's process has run until now.
+func (b *Board) ConnectionBroken(id string, now time.Time) {
+	if w := b.workers[id]; w != nil {
+		w.brokenAt = now
+	}
+}
+
 func (w *workerState) markLost(now time.Time) {
 	if w.reachable {
 		w.reachable, w.lostAt = false, now
