Conclude nothing from a worker that knows no token until confirmed

Which of the two is right, the program or the test's leader: the test's.

Cause: a worker that has started again knows no token and obeys the former leader. It carries out its starts; and its report makes the former leader take runs for gone whose ends the successor has already been told.

Change: starts on such a worker, starts of tasks that were freed by it, by the end of a lease or by a removal, and the settling of inherited tasks wait for a call that confirms the leadership and was sent later. The leader renews at once if something waits for it.

The test's leader: it now polls too, loses the connection to a worker that restarts, and ends with the first fence, as the program does; it polls each worker about once in 1.2 s, a lost one in 0.3 s, for 3 s as before. Tests that free a task now confirm the leadership first, as a renewal does.

New: TestNoStartOnARestartedWorkerBeforeTheLeadershipIsConfirmed.

--- a/internal/process/leader/compete_test.go
+++ b/internal/process/leader/compete_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mustardreach.example/mustardreach/internal/process/schedule"
 	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/process/store"
 )
@@ -202,3 +204,44 @@
 	})
 	assert.True(t, <-done, "another host leads")
 }
+
+// Guards against reckoning with less than ActTerm for a leader beside its successor:
+// the store may take its key away at once and turn it away, so that nothing tells it.
+func TestLeaderWithoutAWordActsForActTerm(t *testing.T) {
+	s := newSite(t)
+	config := s.leaderConfig("recife-1")
+	down := atomic.Bool{}
+	client := s.store.Client()
+	config.Store.Renew = func(ctx context.Context, lease int64) error {
+		if down.Load() {
+			return store.ErrUnavailable
+		}
+		return client.Renew(ctx, lease)
+	}
+	config.Store.Watch = func(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
+		changes, err := client.Watch(ctx, prefix, after, wait)
+		if down.Load() {
+			return store.Changes{}, store.ErrUnavailable
+		}
+		return changes, err
+	}
+	config.Calls.Poll = func(ctx context.Context, _ Target, _ Poll) (schedule.Inventory, time.Duration, error) {
+		<-ctx.Done() // no worker tells it either
+		return schedule.Inventory{}, 0, ctx.Err()
+	}
+	former := s.startConfigured(t.Context(), config, shard.Solo()).leaders[0]
+	require.Eventually(t, func() bool { return s.token(former) != 0 }, waitTimeout, time.Millisecond)
+	down.Store(true)
+	_, err := client.Commit(t.Context(), store.Commit{
+		Delete: []string{soloKeys.Lead},
+	})
+	require.NoError(t, err)
+	successor, _ := s.startLeader("olinda-1")
+	require.Eventually(t, func() bool { return s.token(successor) != 0 }, waitTimeout, time.Millisecond)
+	left := make(chan time.Duration, 1)
+	former.post(func(now time.Time) { left <- former.term.actUntil.Sub(now) })
+	beside := <-left
+	t.Logf("the former leader may act for %v beside its successor", beside)
+	assert.Greater(t, beside, ActTerm-leaseTTL)
+	assert.LessOrEqual(t, beside, ActTerm)
+}
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -124,7 +124,9 @@
 	// allows for a few lost renewals.
 	leaseTTL      = 2 * time.Second
 	renewInterval = 500 * time.Millisecond
-	callTimeout   = 800 * time.Millisecond
+	// confirmGap replaces renewInterval while starts wait for a confirmation.
+	confirmGap  = 20 * time.Millisecond
+	callTimeout = 800 * time.Millisecond
 	// resumeTime is how long a leader may take to find out that the store answers
 	// again. After an outage the other hosts leave a lapsed leadership to it for so
 	// long: it knows where all tasks run, and a successor has to find out.
--- a/internal/process/leader/renewal.go
+++ b/internal/process/leader/renewal.go
@@ -11,12 +11,16 @@
 )
 
 // renew renews the lead key's lease in the store. The answer confirms the
-// leadership.
+// leadership; it is asked for earlier if starts wait for it.
 func (t *term) renew(ctx context.Context, now time.Time) {
-	if t.renewing || t.unoccupied || now.Sub(t.renewedAt) < renewInterval {
+	interval := renewInterval
+	if t.leader.board.NeedsConfirmation() {
+		interval = confirmGap
+	}
+	if t.renewing || t.unoccupied || now.Sub(t.renewedAt) < interval {
 		return
 	}
-	due := t.renewedAt.Add(renewInterval)
+	due := t.renewedAt.Add(interval)
 	if due.Before(t.renewalAnsweredAt) {
 		due = t.renewalAnsweredAt // the store was late, and not this host
 	}
@@ -53,6 +57,7 @@
 	switch {
 	case err == nil:
 		t.actUntil = c.sent.Add(ActTerm)
+		t.leader.board.Confirmed(c.sent)
 	case errors.Is(err, store.ErrNoLease):
 		klog.InfoS("leadership lease lapsed", "shard", t.leader.config.Shard, "token", t.token, "lease", t.lease)
 		t.lapse(now)
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -64,6 +64,12 @@
 	// termStart is when leadership was acquired. earlierTermEnd is when the leader
 	// before is known to have lost it.
 	termStart, earlierTermEnd time.Time
+	// confirmedAt is when the newest call was sent that confirmed the leadership,
+	// and confirmAfter when it was last found that a start has to wait for a later
+	// one.
+	confirmedAt, confirmAfter time.Time
+	// removedAt is when a worker was last removed.
+	removedAt time.Time
 	// runs counts the starts under this token.
 	runs int64
 	// fenced is set once a worker has refused the token as outdated.
@@ -152,11 +158,38 @@
 // workers are kept, but every worker has to report again.
 func (b *Board) Begin(token int64, now time.Time) {
 	b.token, b.termStart, b.earlierTermEnd, b.now, b.runs, b.fenced = token, now, now, now, 0, false
+	b.confirmedAt = now
 	for _, w := range b.workers {
 		w.reportedToken, w.settledToken = 0, 0
 	}
 }
 
+// Confirmed records that a call which was sent at a time has confirmed the
+// leadership.
+func (b *Board) Confirmed(sent time.Time) {
+	b.confirmedAt = later(b.confirmedAt, sent)
+}
+
+// NeedsConfirmation reports whether starts wait until the leadership is confirmed
+// again.
+func (b *Board) NeedsConfirmation() bool {
+	return b.confirmAfter.After(b.confirmedAt)
+}
+
+// mayOrder reports whether a worker may be sent starts. A worker that has started
+// again knows no token: it would carry out the start of a leader that was replaced
+// before. So the leadership must be confirmed after its first report.
+func (b *Board) mayOrder(w *workerState) bool {
+	return w.reachable && b.MayRequestLease(w.ID) && !w.firstReport.After(b.confirmedAt)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // EarlierTermEnded records when the leader before is known to have lost the
 // leadership, if that is earlier than the start of this term.
 func (b *Board) EarlierTermEnded(at time.Time) {
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -147,6 +147,8 @@
 	within := testStart.Add(testLeaseTerm)
 	assert.Empty(t, board.Decide(within, true).Starts, "its lease may not have expired")
 	after := testStart.Add(board.longestLease() + time.Millisecond)
+	assert.Empty(t, board.Decide(after, true).Starts, "a successor may know how the run ended")
+	board.Confirmed(after)
 	effects = board.Decide(after, true)
 	require.Len(t, effects.Starts, 1)
 	assert.NotEqual(t, unresponsive, effects.Starts[0].Worker)
@@ -189,6 +191,7 @@
 				board.Closed(leaver)
 			}
 			board.SetWorkers(map[string]Listing{stays: board.workers[stays].Listing}, true, now)
+			board.Confirmed(now)
 			assert.Len(t, board.Decide(now, true).Starts, tt.want)
 		})
 	}
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -159,7 +159,7 @@
 
 // placeGang starts all tasks of a gang step at once, or none.
 func (b *Board) placeGang(j *job, step *stepState, pool []*workerState, now time.Time) {
-	if !b.mayStartAll(j, step, now) {
+	if !b.mayStartAll(j, step) {
 		return
 	}
 	if step.waiting != len(step.tasks) {
@@ -201,7 +201,7 @@
 			Spec:       j.work.Spec,
 			Checkpoint: checkpoint,
 			Ticket:     step.ticketFor(chosen[i].ID),
-		}, now)
+		})
 	}
 }
 
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -213,6 +213,9 @@
 	}
 	t.phase, t.worker = waiting, ""
 	t.endedAt = now
+	if w.firstReport.After(b.confirmedAt) {
+		t.confirmAfter = now
+	}
 	step.waiting++
 	j.claims--
 	if j.claims == 0 {
--- a/internal/process/schedule/crashes_test.go
+++ b/internal/process/schedule/crashes_test.go
@@ -112,6 +112,7 @@
 		}
 		f.board.LeaseExtended(id, f.now)
 		f.board.ApplyReport(id, inventory, f.now)
+		f.board.Confirmed(f.now)
 	}
 }
 
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -89,8 +89,9 @@
 			}
 			continue
 		}
-		if !w.reachable || !b.MayRequestLease(w.ID) {
-			// Sending it would extend the leases of the worker's runs.
+		if !b.mayOrder(w) {
+			// Sending it would extend the leases of the worker's runs, or reach a
+			// worker that knows no token.
 			later = append(later, start)
 			continue
 		}
--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -78,7 +78,7 @@
 			return
 		}
 		held, ok := b.reservations[t.key]
-		if !ok || t.phase != waiting || now.Before(t.notBefore) || !b.mayStartTask(j, t, now) {
+		if !ok || t.phase != waiting || now.Before(t.notBefore) || !b.mayStartTask(j, t) {
 			continue
 		}
 		w := b.workers[held.worker]
--- a/internal/process/schedule/handover.go
+++ b/internal/process/schedule/handover.go
@@ -49,7 +49,7 @@
 				out.Uncertain = append(out.Uncertain, j.work.ID)
 				break
 			}
-			for _, worker := range b.unsettledWorkers(t, now) {
+			for _, worker := range b.unsettledWorkers(t) {
 				out.Claims[worker] = append(out.Claims[worker], t.key)
 			}
 		}
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -54,7 +54,7 @@
 	b.resolveReport(id, inventory.Born, now)
 	switch {
 	case w.incarnation.IsZero():
-		w.incarnation, w.firstReport = inventory.Born, now
+		w.incarnation, w.firstReport, b.confirmAfter = inventory.Born, now, now
 	case inventory.Born.After(w.incarnation):
 		b.handleRestart(w, inventory.Born, now)
 	case inventory.Born.Before(w.incarnation):
@@ -155,7 +155,7 @@
 		// this one, and ends of other runs change nothing.
 		t.located, j.hasLocated = true, true
 	}
-	b.addLastWorker(t, w, now)
+	b.addLastWorker(t, w)
 	j.progress.Started = true
 	return held
 }
--- a/internal/process/schedule/moves_test.go
+++ b/internal/process/schedule/moves_test.go
@@ -101,6 +101,7 @@
 	require.Equal(t, []string{"b"}, movesOf(now, full, empty))
 	full.Cancel("a", now)
 	full.releaseAll(full.workers["w0"], now)
+	full.Confirmed(now)
 	assert.Empty(t, full.Decide(now.Add(time.Second), true).Starts)
 	full.Stay("b")
 	assert.Len(t, full.Decide(now.Add(2*time.Second), true).Starts, 1)
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -63,7 +63,7 @@
 }
 
 func (b *Board) usable(w *workerState, now time.Time) bool {
-	return w.listed && !w.Draining && w.reachable && b.MayRequestLease(w.ID) && w.reportedToken == b.token &&
+	return w.listed && !w.Draining && b.mayOrder(w) && w.reportedToken == b.token &&
 		!b.evacuated[w.Zone] && now.After(w.blockedUntil)
 }
 
@@ -137,7 +137,7 @@
 // startable reports whether a task waits and nothing but capacity may keep it from
 // a start.
 func (b *Board) startable(j *job, t *task, now time.Time) bool {
-	return t.phase == waiting && !now.Before(t.notBefore) && b.mayStartTask(j, t, now)
+	return t.phase == waiting && !now.Before(t.notBefore) && b.mayStartTask(j, t)
 }
 
 // urgent reports whether the job is a quick one of the highest priority:
@@ -168,5 +168,5 @@
 		Spec:       j.work.Spec,
 		Checkpoint: t.checkpoint,
 		Ticket:     step.ticketFor(w.ID),
-	}, now)
+	})
 }
--- a/internal/process/schedule/placements.go
+++ b/internal/process/schedule/placements.go
@@ -13,12 +13,12 @@
 }
 
 // sendStart orders the start of a task that has a claim.
-func (b *Board) sendStart(j *job, step *stepState, start Start, now time.Time) {
+func (b *Board) sendStart(j *job, step *stepState, start Start) {
 	t := step.tasks[start.Key.Index]
 	held := b.workers[start.Worker].claims[start.Key]
 	held.startDue = true
 	t.located, j.hasLocated = true, true
-	b.addLastWorker(t, b.workers[start.Worker], now)
+	b.addLastWorker(t, b.workers[start.Worker])
 	if step.spec.LongRunning {
 		b.markChanged(j)
 		j.placed = j.version
--- a/internal/process/schedule/quotas.go
+++ b/internal/process/schedule/quotas.go
@@ -44,7 +44,7 @@
 	for _, j := range b.possiblyRunning {
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
-				if tasks := b.possibleRuns(step, now); tasks > 0 {
+				if tasks := b.possibleRuns(step); tasks > 0 {
 					j.account.AddPossible(step.spec.Size, tasks)
 				}
 			}
@@ -58,10 +58,10 @@
 // possibleRuns counts the tasks of an inherited step without a claim that may be
 // running on a worker that is not accounted for. A task that is done may have a
 // run that is being stopped; only a handover names it.
-func (b *Board) possibleRuns(step *stepState, now time.Time) int {
+func (b *Board) possibleRuns(step *stepState) int {
 	count := 0
 	for _, t := range step.tasks {
-		if t.phase == waiting && !t.located || t.phase != claimed && len(b.unsettledWorkers(t, now)) > 0 {
+		if t.phase == waiting && !t.located || t.phase != claimed && len(b.unsettledWorkers(t)) > 0 {
 			count++
 		}
 	}
--- a/internal/process/schedule/racks_test.go
+++ b/internal/process/schedule/racks_test.go
@@ -178,6 +178,7 @@
 		})
 	}
 	f.board.ApplyReport(id, inventory, f.now)
+	f.board.Confirmed(f.now)
 }
 
 // run ticks for a time and returns the starts.
--- a/internal/process/schedule/replay_test.go
+++ b/internal/process/schedule/replay_test.go
@@ -125,6 +125,7 @@
 	}
 	r.runs[id] = running
 	r.board.ApplyReport(id, inventory, now)
+	r.board.Confirmed(now)
 }
 
 // met is the share of the selected jobs that were done within a multiple of
--- a/internal/process/schedule/replay_workers_test.go
+++ b/internal/process/schedule/replay_workers_test.go
@@ -47,6 +47,7 @@
 	}
 	r.board.LeaseExtended(id, r.now)
 	r.board.ApplyReport(id, inventory, r.now)
+	r.board.Confirmed(r.now)
 	seen, _ := r.board.LastSeen(id)
 	for len(w.ended) > 0 && w.ended[0].Number <= seen {
 		w.ended = w.ended[1:]
--- a/internal/process/schedule/restart_test.go
+++ b/internal/process/schedule/restart_test.go
@@ -21,13 +21,14 @@
 	board.SetWorkers(listings, true, now)
 }
 
-// report applies an empty inventory of an incarnation.
+// report applies an empty inventory of an incarnation, and confirms the leadership.
 func report(board *Board, id string, born, now time.Time) {
 	board.ApplyReport(id, Inventory{
 		Born:     born,
 		Sent:     now,
 		Received: now,
 	}, now)
+	board.Confirmed(now)
 }
 
 // Load pattern: starts are held up in a link to a worker that restarts. The new
@@ -89,3 +90,46 @@
 	board.StartReplied(effects.Starts[1], Fenced, testStart)
 	assert.Empty(t, board.Decide(testStart.Add(time.Second), true).Starts)
 }
+
+// Guards against a task that runs twice: a leader was replaced, and turned away by
+// the store so that it did not know. A worker that had reported to its successor
+// started again, knew no token any more, and carried out its start.
+func TestNoStartOnARestartedWorkerBeforeTheLeadershipIsConfirmed(t *testing.T) {
+	tests := map[string]struct {
+		unanswered bool
+	}{
+		"new start": {},
+		"repetition of a start": {
+			unanswered: true,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			board.Confirmed(testStart)
+			reborn, now := testBorn.Add(time.Minute), testStart.Add(100*time.Millisecond)
+			if tt.unanswered {
+				board.AddJob(testJob("a", "quotes", tasks(1, 8000)), nil, false, testStart, testStart)
+				effects := board.Decide(testStart, true)
+				require.Len(t, effects.Starts, 1)
+				board.StartReplied(effects.Starts[0], Unknown, testStart)
+			} else {
+				board.AddJob(testJob("a", "quotes", tasks(1, 8000)), nil, false, now, now)
+			}
+			board.ApplyReport("w0", Inventory{
+				Born:     reborn,
+				Sent:     now,
+				Received: now,
+			}, now)
+			assert.Empty(t, board.Decide(now, true).Starts)
+			assert.True(t, board.NeedsConfirmation())
+			board.Confirmed(now.Add(-time.Millisecond))
+			assert.Empty(t, board.Decide(now, true).Starts, "confirmed by a call that was sent before the report")
+			board.Confirmed(now)
+			assert.False(t, board.NeedsConfirmation())
+			if !tt.unanswered {
+				assert.Len(t, board.Decide(now, true).Starts, 1)
+			}
+		})
+	}
+}
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -306,13 +306,6 @@
 	return Accepted
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (sim *simulation) checkStart(start Start) {
 	for id, simWorker := range sim.workers {
 		require.Nil(sim.t, simWorker.running[start.Key], "%s is started while it runs on %s; preemptions %d", start.Key, id, sim.preempted)
@@ -577,6 +570,9 @@
 // dropped: docs/DESIGN.md lists that gap.
 func (sim *simulation) restart(id string) {
 	sim.workers[id] = newSimulatedWorker(id, sim.workers[id].listing.Address, sim.now)
+	if sim.previous != nil {
+		sim.previous.MarkUnreachable(id, sim.now) // its connections broke
+	}
 	w := sim.board.workers[id]
 	sim.delayed = slices.DeleteFunc(sim.delayed, func(order delayedStart) bool {
 		if order.worker != id {
@@ -604,10 +600,36 @@
 	}
 	sim.writeUnreachable()
 	sim.write()
+	if !sim.storeDown {
+		sim.board.Confirmed(sim.now)
+	}
 	sim.decide(sim.board, true)
-	if sim.previous != nil && sim.now.Before(sim.previousUntil) {
-		sim.decide(sim.previous, true)
+	sim.tickPrevious()
+}
+
+// tickPrevious lets a leader act that was replaced and does not know it: the store
+// may have taken its lead key away, and turns it away. It ends with the first
+// answer of a worker that has seen a higher token, and at the end of its act term.
+func (sim *simulation) tickPrevious() {
+	if sim.previous == nil || !sim.now.Before(sim.previousUntil) {
+		return
+	}
+	for _, id := range []string{"w0", "w1", "w2"} {
+		// A poll waits for over a second, one of a lost worker is soon repeated.
+		looks := 12
+		if w := sim.previous.workers[id]; w == nil || w.lost {
+			looks = 3
+		}
+		if rapid.IntRange(1, looks).Draw(sim.t, "previous looks") != 1 {
+			continue
+		}
+		if simWorker := sim.workers[id]; !simWorker.partitioned && sim.previous.token < simWorker.token {
+			sim.previous = nil
+			return
+		}
+		sim.poll(sim.previous, id)
 	}
+	sim.decide(sim.previous, true)
 }
 
 // runWithFaults submits jobs and injects faults for twelve seconds.
--- a/internal/process/schedule/stalled_test.go
+++ b/internal/process/schedule/stalled_test.go
@@ -24,6 +24,7 @@
 		})
 	}
 	board.ApplyReport(id, inventory, now)
+	board.Confirmed(now)
 }
 
 func TestStalledTasksAreMoved(t *testing.T) {
--- a/internal/process/schedule/summary.go
+++ b/internal/process/schedule/summary.go
@@ -43,7 +43,7 @@
 					continue
 				}
 				out.Waiting += step.waiting
-				out.Delayed += b.delayed(j, step, now)
+				out.Delayed += b.delayed(j, step)
 			}
 		}
 	}
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -27,8 +27,12 @@
 func (b *Board) unsettledServices(now time.Time) map[string]bool {
 	out := map[string]bool{}
 	for _, w := range b.workers {
-		if !b.accountedFor(w, now) {
-			out[w.Service] = true
+		if b.accountedFor(w) {
+			continue
+		}
+		out[w.Service] = true
+		if !now.Before(w.leaseEnd) {
+			b.confirmAfter = later(b.confirmAfter, w.leaseEnd)
 		}
 	}
 	return out
@@ -38,6 +42,9 @@
 // unknown to this leader.
 func (b *Board) settleInherited(now time.Time) {
 	unsettled := b.unsettledServices(now)
+	if b.removedAt.After(b.confirmedAt) {
+		return
+	}
 	for _, j := range b.open {
 		if j.inherited == 0 || !b.settled(j, unsettled) {
 			continue
@@ -57,27 +64,33 @@
 
 // addLastWorker records that a task has a run on a worker. Workers that are
 // accounted for are dropped.
-func (b *Board) addLastWorker(t *task, w *workerState, now time.Time) {
+func (b *Board) addLastWorker(t *task, w *workerState) {
 	t.lastWorkers = append(slices.DeleteFunc(t.lastWorkers, func(id string) bool {
-		return id == w.ID || b.workers[id] == nil || b.accountedFor(b.workers[id], now)
+		return id == w.ID || b.workers[id] == nil || b.accountedFor(b.workers[id])
 	}), w.ID)
 }
 
-// mayStartTask reports whether a task is certain not to be running already and
-// is not to be given up once its job is settled.
-func (b *Board) mayStartTask(j *job, t *task, now time.Time) bool {
+// mayStartTask reports whether a task is certain not to be running already, or to
+// be done, and is not to be given up once its job is settled.
+func (b *Board) mayStartTask(j *job, t *task) bool {
+	if t.confirmAfter.After(b.confirmedAt) {
+		return false
+	}
 	if j.inherited == 0 {
 		return true
 	}
-	return t.located && len(t.crashes) < maxDoubtfulCrashes && len(b.unsettledWorkers(t, now)) == 0
+	if b.removedAt.After(b.confirmedAt) {
+		return false
+	}
+	return t.located && len(t.crashes) < maxDoubtfulCrashes && len(b.unsettledWorkers(t)) == 0
 }
 
 // unsettledWorkers returns the last workers of a task that are not accounted
 // for.
-func (b *Board) unsettledWorkers(t *task, now time.Time) []string {
+func (b *Board) unsettledWorkers(t *task) []string {
 	var out []string
 	for _, id := range t.lastWorkers {
-		if w := b.workers[id]; w != nil && !b.accountedFor(w, now) {
+		if w := b.workers[id]; w != nil && !b.accountedFor(w) {
 			out = append(out, id)
 		}
 	}
@@ -86,9 +99,9 @@
 
 // mayStartAll reports whether all waiting tasks of a gang are certain not to be
 // running already.
-func (b *Board) mayStartAll(j *job, step *stepState, now time.Time) bool {
+func (b *Board) mayStartAll(j *job, step *stepState) bool {
 	for _, t := range step.tasks {
-		if t.phase == waiting && !b.mayStartTask(j, t, now) {
+		if t.phase == waiting && !b.mayStartTask(j, t) {
 			return false
 		}
 	}
@@ -96,10 +109,10 @@
 }
 
 // delayed counts the waiting tasks of a step that may not start yet.
-func (b *Board) delayed(j *job, step *stepState, now time.Time) int {
+func (b *Board) delayed(j *job, step *stepState) int {
 	count := 0
 	for _, t := range step.tasks {
-		if t.phase == waiting && !b.mayStartTask(j, t, now) {
+		if t.phase == waiting && !b.mayStartTask(j, t) {
 			count++
 		}
 	}
@@ -107,9 +120,11 @@
 }
 
 // accountedFor reports whether every run that an earlier leader started on the
-// worker is known or has ended.
-func (b *Board) accountedFor(w *workerState, now time.Time) bool {
-	return w.settledToken == b.token || !now.Before(w.leaseEnd) || b.hasLeft(w)
+// worker is known or has ended. What a worker reports that has started again, and
+// the end of its leases, say that only if the leadership was confirmed later: a
+// successor may have heard of the runs before.
+func (b *Board) accountedFor(w *workerState) bool {
+	return w.settledToken == b.token && !w.firstReport.After(b.confirmedAt) || !b.confirmedAt.Before(w.leaseEnd)
 }
 
 // UnsettledWorker is a worker that may have runs of an earlier leader which
@@ -128,7 +143,7 @@
 func (b *Board) Unsettled(now time.Time) []UnsettledWorker {
 	var out []UnsettledWorker
 	for id, w := range b.workers {
-		if b.accountedFor(w, now) {
+		if b.accountedFor(w) {
 			continue
 		}
 		out = append(out, UnsettledWorker{
--- a/internal/process/schedule/takeover_test.go
+++ b/internal/process/schedule/takeover_test.go
@@ -38,6 +38,7 @@
 	assert.Equal(t, 2, summary.Delayed)
 
 	later := board.earlierLeaseEnd().Add(time.Millisecond)
+	board.Confirmed(later)
 	assert.Empty(t, board.Unsettled(later))
 	board.Decide(later, false)
 	assert.Zero(t, board.Summary(later).Delayed)
@@ -221,6 +222,7 @@
 	}, testStart)
 	assert.False(t, board.PlacementsRecorded(testStart), "w1 has not reported")
 	later := board.earlierLeaseEnd().Add(time.Millisecond)
+	board.Confirmed(later)
 	assert.False(t, board.PlacementsRecorded(later), "the adopted run is not recorded")
 	records := save(board)
 	require.Len(t, records, 1)
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -47,7 +47,8 @@
 	// settledToken is the token under which it last reported all its runs and all
 	// ends that it has not forgotten.
 	settledToken int64
-	// firstReport is when this incarnation first reported, lostAt when the
+	// firstReport is when this incarnation first reported, or when it was last given
+	// up; no start is sent before the leadership is confirmed later. lostAt is when the
 	// worker was last found unreachable.
 	firstReport, lostAt time.Time
 	reachable           bool
@@ -119,13 +120,11 @@
 		}
 		w.leftList = reliable
 		if b.hasLeft(w) {
-			b.releaseAll(w, now)
-			delete(b.workers, id)
+			b.remove(w, now)
 			continue
 		}
 		if now.After(w.leaseEnd) && now.Sub(w.unlistedSince) > b.config.ListGrace && !w.reachable {
-			b.releaseAll(w, now)
-			delete(b.workers, id)
+			b.remove(w, now)
 		}
 	}
 	b.resolveLost(now)
@@ -189,6 +188,7 @@
 func (b *Board) handleRestart(w *workerState, born time.Time, now time.Time) {
 	w.markLost(now)
 	suspects := b.suspectsOn(w)
+	w.incarnation, w.firstReport, b.confirmAfter = born, now, now
 	for key, held := range w.claims {
 		if held.unanswered <= 0 {
 			b.release(w, key, now)
@@ -197,7 +197,6 @@
 		held.confirmed, held.stopping, held.barred = false, time.Time{}, time.Time{}
 		b.stop(w.ID, key, held.run, "worker_restarted")
 	}
-	w.incarnation, w.firstReport = born, now
 	w.lastProcessed, w.lastSeen, w.ends = 0, 0, nil
 	w.health = health{}
 	w.blockedUntil = time.Time{}
@@ -208,11 +207,19 @@
 // over.
 func (b *Board) releaseAll(w *workerState, now time.Time) {
 	b.lose(w, now)
+	w.firstReport, b.confirmAfter = now, now
 	for key := range w.claims {
 		b.release(w, key, now)
 	}
 }
 
+// remove drops a worker whose runs are certainly over.
+func (b *Board) remove(w *workerState, now time.Time) {
+	b.releaseAll(w, now)
+	delete(b.workers, w.ID)
+	b.removedAt, b.confirmAfter = now, now
+}
+
 // MarkUnreachable records that a worker did not answer.
 func (b *Board) MarkUnreachable(id string, now time.Time) {
 	if w := b.workers[id]; w != nil {
