Read the clock of the competition test without a race

Seen: make test, once in one run: the race detector reports the test's clock, which watchers of a term read while the test advances it.

Change: the time is an atomic counter. make test -race of the package's test passes.

--- a/internal/process/leader/competition_test.go
+++ b/internal/process/leader/competition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,22 +26,32 @@
 type competition struct {
 	t      *rapid.T
 	ctx    context.Context
-	now    time.Time
 	memory *standin.Memory
 	leader *Leader
 	// heard is the revision up to which changes of the lead key were delivered,
 	// and last the newest of them.
 	heard int64
 	last  store.Event
+	// passed is the time since competitionStart; watchers read the clock too.
+	passed atomic.Int64
+}
+
+var competitionStart = time.Unix(1000, 0)
+
+func (c *competition) now() time.Time {
+	return competitionStart.Add(time.Duration(c.passed.Load()))
+}
+
+func (c *competition) wait(span time.Duration) {
+	c.passed.Add(int64(span))
 }
 
 func newCompetition(ctx context.Context, t *rapid.T) *competition {
 	c := &competition{
 		t:   t,
 		ctx: ctx,
-		now: time.Unix(1000, 0),
 	}
-	c.memory = standin.NewMemory(func() time.Time { return c.now })
+	c.memory = standin.NewMemory(c.now)
 	client := c.memory.Client()
 	client.Watch = func(ctx context.Context, _ string, _ int64, _ time.Duration) (store.Changes, error) {
 		<-ctx.Done()
@@ -68,8 +79,8 @@
 				KeepEnded: time.Minute,
 			},
 			WorkersPrefix:  "workers/",
-			Clock:          func() time.Time { return c.now },
-			TimeOfDay:      func() time.Time { return c.now },
+			Clock:          c.now,
+			TimeOfDay:      c.now,
 			Counts:         new(expvar.Map).Init(),
 			RecordDuration: func(string, time.Duration) {},
 		},
@@ -90,7 +101,7 @@
 				Count: 1,
 			},
 		},
-		Accepted: c.now,
+		Accepted: c.now(),
 	})
 	require.NoError(t, err)
 	c.commit(store.Commit{
@@ -127,7 +138,7 @@
 		Snapshot: true,
 		Items:    page.Items,
 		Revision: page.Revision,
-	}, c.now)
+	}, c.now())
 }
 
 // hear delivers the next change of the lead key, if there is one.
@@ -148,14 +159,14 @@
 	c.leader.observeLeadKey(store.View{
 		Events:   []store.Event{event},
 		Revision: event.Revision,
-	}, c.now)
+	}, c.now())
 }
 
 // answer handles the oldest outcome that is queued.
 func (c *competition) answer() bool {
 	select {
 	case event := <-c.leader.events:
-		event.handle(c.now)
+		event.handle(c.now())
 		return true
 	default:
 		return false
@@ -173,9 +184,9 @@
 		}
 		return nil
 	}, false)
-	c.leader.compete(c.ctx, c.now)
+	c.leader.compete(c.ctx, c.now())
 	if c.leader.term != nil && c.leader.term.ready {
-		c.leader.term.renew(c.ctx, c.now)
+		c.leader.term.renew(c.ctx, c.now())
 	}
 }
 
@@ -214,16 +225,16 @@
 		}
 	case "resigns":
 		if l.term != nil {
-			l.yielding, l.yieldUntil = true, c.now.Add(resignDelay)
-			l.resign(c.ctx, "resigned for lag", c.now)
+			l.yielding, l.yieldUntil = true, c.now().Add(resignDelay)
+			l.resign(c.ctx, "resigned for lag", c.now())
 		}
 	case "stops":
 		if !l.stopping && rapid.IntRange(0, 2).Draw(c.t, "really") == 0 {
 			l.stopping = true
-			l.resign(c.ctx, "resigned", c.now)
+			l.resign(c.ctx, "resigned", c.now())
 		}
 	case "wait":
-		c.now = c.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(c.t, "tenths")) * 100 * time.Millisecond)
+		c.wait(time.Duration(rapid.IntRange(1, 30).Draw(c.t, "tenths")) * 100 * time.Millisecond)
 	}
 }
 
@@ -269,7 +280,7 @@
 	}
 	_, known := l.board.State("a")
 	require.True(c.t, known, "a term must know the jobs in the store")
-	require.Equal(c.t, l.term.token, l.board.Handover(c.now).Token)
+	require.Equal(c.t, l.term.token, l.board.Handover(c.now()).Token)
 	require.False(c.t, l.stopping, "a host that stops must not lead")
 }
 
@@ -288,7 +299,7 @@
 		}
 		c.otherEnds()
 		for range 100 {
-			c.now = c.now.Add(tick)
+			c.wait(tick)
 			for c.answer() || c.hear() {
 				c.check()
 			}
