Use a restarted worker once its new entry has been read

Cause: usable did not compare the entry with the incarnation that reports.

Test, failed before: TestRestartedWorkerIsUsedOnceItsEntryIsRead.

--- a/internal/process/schedule/restart_test.go
+++ b/internal/process/schedule/restart_test.go
@@ -116,6 +116,7 @@
 			} else {
 				board.AddJob(testJob("a", "quotes", tasks(1, 8000)), nil, false, now, now)
 			}
+			relist(board, "w0", reborn, now)
 			board.ApplyReport("w0", Inventory{
 				Born:     reborn,
 				Sent:     now,
@@ -133,3 +134,15 @@
 		})
 	}
 }
+
+// Guards against tasks on a worker that cannot run them: it has started again under
+// its id as another kind, with less capacity, and its entry is still the old one.
+func TestRestartedWorkerIsUsedOnceItsEntryIsRead(t *testing.T) {
+	board := testBoard("w0")
+	reborn, now := testBorn.Add(time.Minute), testStart.Add(100*time.Millisecond)
+	report(board, "w0", reborn, now)
+	board.AddJob(testJob("a", "quotes", tasks(1, 8000)), nil, false, now, now)
+	assert.Empty(t, board.Decide(now, true).Starts, "the old entry says nothing of the new incarnation")
+	relist(board, "w0", reborn, now)
+	assert.Len(t, board.Decide(now, true).Starts, 1)
+}
