Let a task show no progress for a tenth of its run time

Cause: the time without progress was 3 s for all tasks.

Change: it is a tenth of the expected run time, 3 s at least, and twice as long after each stop, as the run time may be underestimated.

Test: TestLongTaskIsNotStoppedBetweenTwoPercentPoints; with a fixed 3 s both cases fail.

--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -45,6 +45,8 @@
 	avoid string
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
+	// stalls counts the runs that were stopped for want of progress.
+	stalls int
 	// endedAt is when the last run ended.
 	endedAt time.Time
 	// confirmAfter is when its worker was found to have restarted or gone, if that
--- a/internal/process/schedule/stalled.go
+++ b/internal/process/schedule/stalled.go
@@ -5,10 +5,14 @@
 // Load pattern: on some workers tasks make no progress although the worker
 // answers, and serving tasks there keep their users waiting indefinitely.
 const (
-	// progressTimeout is how long a task may show no progress. One percent of
-	// the longest tasks takes a tenth of it, also on a worker six times too
-	// slow.
-	progressTimeout = 3 * time.Second
+	// progressTimeout is how long a task may show no progress at least, and
+	// progressFraction the part of its expected run time that it may: ten percent
+	// points that are not seen.
+	progressTimeout  = 3 * time.Second
+	progressFraction = 10
+	// maxStalls bounds the doublings of that time for a task that was stopped for
+	// it before.
+	maxStalls = 6
 	// maxReportAge is how old a report may be for a task to be considered
 	// stalled.
 	maxReportAge = 2 * time.Second
@@ -30,23 +34,32 @@
 			if j == nil || !held.confirmed || !held.stopping.IsZero() || now.Sub(held.confirmedAt) > maxReportAge {
 				continue
 			}
-			if j.work.Steps[key.Step].Gang || !held.isStalled(now) {
+			_, step, t := j.find(key)
+			if step.spec.Gang || !held.isStalled(now, b.progressTimeout(j, step, t)) {
 				continue
 			}
+			t.stalls++
 			w.health.record(EndedFailed, now)
 			b.stop(w.ID, key, held.run, "stands_still")
 		}
 	}
 }
 
-// isStalled reports whether a run makes no progress for a reason other than
-// throttling.
-func (c *claim) isStalled(now time.Time) bool {
+// progressTimeout is how long a task may show no progress. A task that was stopped
+// for it gets twice as long each time: its run time may be underestimated.
+func (b *Board) progressTimeout(j *job, step *stepState, t *task) time.Duration {
+	timeout := max(progressTimeout, b.estimates.runTime(j.work.Queue, step.spec)/progressFraction)
+	return timeout << min(t.stalls, maxStalls)
+}
+
+// isStalled reports whether a run makes no progress for longer than the timeout,
+// for a reason other than throttling.
+func (c *claim) isStalled(now time.Time, timeout time.Duration) bool {
 	switch {
 	case c.serving:
 		return c.target > 0 && c.latency > hungLatencyFactor*c.target && !c.overTargetSince.IsZero() && now.Sub(c.overTargetSince) > hungTimeout
 	case c.longRunning || c.throttle == 0:
 		return false
 	}
-	return now.Sub(c.lastProgress) > progressTimeout
+	return now.Sub(c.lastProgress) > timeout
 }
--- a/internal/process/schedule/stalled_test.go
+++ b/internal/process/schedule/stalled_test.go
@@ -83,3 +83,47 @@
 		})
 	}
 }
+
+// Guards against a long task that never ends: one percent of it takes longer than a
+// task may show no progress, so that it was stopped and begun again for ever.
+func TestLongTaskIsNotStoppedBetweenTwoPercentPoints(t *testing.T) {
+	tests := map[string]struct {
+		estimate time.Duration
+		// percent is how long one percent takes.
+		percent  time.Duration
+		maxStops int
+	}{
+		"as estimated": {
+			estimate: 1000 * time.Second,
+			percent:  10 * time.Second,
+		},
+		"far longer than estimated": {
+			estimate: time.Second,
+			percent:  20 * time.Second,
+			maxStops: 3,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			step := tasks(1, 1000)
+			step.Estimate = tt.estimate
+			board.AddJob(testJob("a", "plans", step), nil, false, testStart, testStart)
+			stops := 0
+			began := testStart
+			end := testStart.Add(20 * tt.percent)
+			for now := testStart; now.Before(end) && stops <= tt.maxStops; now = now.Add(500 * time.Millisecond) {
+				pollWithProgress(board, "w0", int(now.Sub(began)/tt.percent), 0, now)
+				effects := board.Decide(now, true)
+				accept(board, effects, now)
+				for _, stop := range effects.Stops {
+					stops++
+					board.StopReplied(stop, Accepted, now)
+					board.release(board.workers["w0"], stop.Key, now)
+					began = now
+				}
+			}
+			assert.LessOrEqual(t, stops, tt.maxStops)
+		})
+	}
+}
