Write records that the store has refused one by one

As ends wait for their records, the ends of all workers concerned would not be acknowledged any more.

Cause: a refused commit was repeated as it was.

Change: after a refusal the records are written alone, and one that is refused alone is written without the tasks' checkpoints, a second apart. Workers report the newest checkpoints again.

--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -143,12 +143,21 @@
 	t.savingProgress, t.progressSavedAt = true, now
 	t.writer.add(&pendingCommit{
 		commit: commit,
-		done:   func(err error, _ time.Time) { t.progressSaved(records, err) },
+		done:   func(err error, now time.Time) { t.progressSaved(records, err, now) },
 	})
 }
 
-func (t *term) progressSaved(records []schedule.Record, err error) {
+func (t *term) progressSaved(records []schedule.Record, err error, now time.Time) {
 	t.savingProgress = false
+	if errors.Is(err, store.ErrRefused) {
+		ids := make([]string, 0, len(records))
+		for _, record := range records {
+			ids = append(ids, record.Job)
+		}
+		klog.ErrorS(err, "progress refused by the store", "jobs", ids)
+		t.leader.board.Refused(ids, now)
+		return
+	}
 	if err != nil {
 		klog.InfoS("progress not written", "records", len(records), "err", err)
 	}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -137,6 +137,11 @@
 	// version in the store, sent the newest version passed on to be written.
 	// placed is the version of the newest placement that a start waits for.
 	version, durable, sent, placed int64
+	// writeAlone is set while the store refuses the job's record or one written along
+	// with it, and writeAfter delays its next write. withoutCheckpoints leaves the
+	// checkpoints out of it for good.
+	writeAlone, withoutCheckpoints bool
+	writeAfter                     time.Time
 	ended                          time.Time
 }
 
@@ -282,6 +287,9 @@
 			}
 		}
 	}
+	if j.withoutCheckpoints {
+		clear(out.SavedCheckpoints)
+	}
 	if !out.State.Final() {
 		out.Done = bits
 	}
--- a/internal/process/schedule/records.go
+++ b/internal/process/schedule/records.go
@@ -21,6 +21,12 @@
 		if len(out) == limit || len(out) == 0 && j.urgency() == 0 && !all {
 			return out
 		}
+		if j.writeAfter.After(b.now) || j.writeAlone && len(out) > 0 {
+			continue
+		}
+		if j.writeAlone {
+			limit = 1
+		}
 		j.sent = j.version
 		delete(b.unsaved, id)
 		out = append(out, Record{
@@ -56,6 +62,30 @@
 		return
 	}
 	j.durable = max(j.durable, version)
+	j.writeAlone, j.writeAfter = false, time.Time{}
+}
+
+// refusedRecordDelay is the time to the next write of a record that the store has
+// refused.
+const refusedRecordDelay = time.Second
+
+// Refused records that the store has refused records of jobs, which it would do
+// again. Load pattern: the checkpoints of a wide job exceed the largest value. The
+// records are then written one by one, and one that is refused alone without its
+// checkpoints: workers report the newest ones again.
+func (b *Board) Refused(ids []string, now time.Time) {
+	for _, id := range ids {
+		j := b.jobs[id]
+		if j == nil {
+			continue
+		}
+		b.unsaved[id] = j
+		if j.writeAlone || len(ids) == 1 {
+			j.withoutCheckpoints = true
+			j.writeAfter = now.Add(refusedRecordDelay)
+		}
+		j.writeAlone = true
+	}
 }
 
 // Forget drops up to limit jobs that ended more than KeepEnded ago and whose
