Keep a pending handover, and ask for confirmations sparingly

A host that resigned for a better one while it took its lead again, and was stopped in that moment, lost its handover. While the store was away, a leader with starts that wait for a confirmation renewed 50 times a second.

Change: a resignation that is pending is kept; after a renewal that failed the next one keeps the usual interval, and confirmations are 50 ms apart at least.

--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -125,7 +125,7 @@
 	leaseTTL      = 2 * time.Second
 	renewInterval = 500 * time.Millisecond
 	// confirmGap replaces renewInterval while starts wait for a confirmation.
-	confirmGap  = 20 * time.Millisecond
+	confirmGap  = 50 * time.Millisecond
 	callTimeout = 800 * time.Millisecond
 	// resumeTime is how long a leader may take to find out that the store answers
 	// again. After an outage the other hosts leave a lapsed leadership to it for so
--- a/internal/process/leader/renewal.go
+++ b/internal/process/leader/renewal.go
@@ -14,7 +14,7 @@
 // leadership; it is asked for earlier if starts wait for it.
 func (t *term) renew(ctx context.Context, now time.Time) {
 	interval := renewInterval
-	if t.leader.board.NeedsConfirmation() {
+	if t.leader.board.NeedsConfirmation() && !t.renewalFailed {
 		interval = confirmGap
 	}
 	if t.renewing || t.unoccupied || now.Sub(t.renewedAt) < interval {
@@ -50,7 +50,7 @@
 }
 
 func (t *term) handleRenewal(c *renewalCall, err error, now time.Time) {
-	t.renewing, t.renewedAt, t.renewalAnsweredAt = false, c.sent, now
+	t.renewing, t.renewedAt, t.renewalAnsweredAt, t.renewalFailed = false, c.sent, now, err != nil
 	if c.token != t.token {
 		return
 	}
--- a/internal/process/leader/resign.go
+++ b/internal/process/leader/resign.go
@@ -13,6 +13,9 @@
 // background; an acquisition in flight is given up once it has ended. done is
 // closed after that.
 func (l *Leader) resign(ctx context.Context, reason string, now time.Time) (done <-chan struct{}) {
+	if l.term == nil && l.leaving != nil {
+		return l.leaving.done
+	}
 	leaving := &resignation{
 		store: l.config.Store,
 		keys:  l.config.Keys,
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -30,6 +30,8 @@
 	renewing  bool
 	// renewalAnsweredAt is when the last renewal was answered or failed.
 	renewalAnsweredAt time.Time
+	// renewalFailed is set if the last renewal was not answered.
+	renewalFailed bool
 
 	listings map[string]schedule.Listing
 	// listReadAt is when the list of workers was last read, listFailedAt when
