Record unreachable workers less often, and give hung tasks two more tries

Cause: each worker whose poll timed out was recorded at once, also when the leader itself was late. And the time for which a task may show no progress doubled with the first stop, though the next worker may hang too.

Change: workers that only time out are recorded after a second, those whose connection broke at once, all at most every 200 ms; the time doubles from the third stop on.

--- a/internal/process/schedule/stalled.go
+++ b/internal/process/schedule/stalled.go
@@ -10,9 +10,10 @@
 	// points that are not seen.
 	progressTimeout  = 3 * time.Second
 	progressFraction = 10
-	// maxStalls bounds the doublings of that time for a task that was stopped for
-	// it before.
-	maxStalls = 6
+	// freeStalls is how often a task is stopped for it before that time doubles:
+	// several workers may hang. maxStalls bounds the doublings.
+	freeStalls = 2
+	maxStalls  = 6
 	// maxReportAge is how old a report may be for a task to be considered
 	// stalled.
 	maxReportAge = 2 * time.Second
@@ -46,10 +47,11 @@
 }
 
 // progressTimeout is how long a task may show no progress. A task that was stopped
-// for it gets twice as long each time: its run time may be underestimated.
+// for it more often gets twice as long each time: its run time may be
+// underestimated.
 func (b *Board) progressTimeout(j *job, step *stepState, t *task) time.Duration {
 	timeout := max(progressTimeout, b.estimates.runTime(j.work.Queue, step.spec)/progressFraction)
-	return timeout << min(t.stalls, maxStalls)
+	return timeout << min(max(0, t.stalls-freeStalls), maxStalls)
 }
 
 // isStalled reports whether a run makes no progress for longer than the timeout,
--- a/internal/process/schedule/unreachable.go
+++ b/internal/process/schedule/unreachable.go
@@ -3,11 +3,13 @@
 import "time"
 
 const (
-	// unreachableGap is the least time between two records of unreachable workers,
-	// unless one of them answers again. unreachableRetryGap replaces it after a
-	// write that failed.
-	unreachableGap      = 100 * time.Millisecond
+	// unreachableGap is the least time between two records of unreachable workers.
+	// unreachableRetryGap replaces it after a write that failed.
+	unreachableGap      = 200 * time.Millisecond
 	unreachableRetryGap = 500 * time.Millisecond
+	// unreachableDelay is how long a worker is not recorded whose polls only time
+	// out: the leader itself may be late.
+	unreachableDelay = time.Second
 	// unreachableInterval is how often the record is written while runs of its
 	// workers may go on. A successor waits that much longer at most.
 	unreachableInterval = time.Second
@@ -43,7 +45,7 @@
 	waits = map[string]time.Duration{}
 	added, runsGoOn := false, false
 	for id, w := range b.workers {
-		if !w.lost && (!state.withheld[id] || w.reachable) {
+		if !w.isRecorded(now) && (!state.withheld[id] || w.reachable) {
 			continue
 		}
 		waits[id] = max(0, w.leaseEnd.Sub(now))
@@ -61,7 +63,7 @@
 	case state.failed:
 		due = passed >= unreachableRetryGap
 	default:
-		due = answered || added && passed >= unreachableGap || state.runsGoOn && passed >= unreachableInterval
+		due = (answered || added) && passed >= unreachableGap || state.runsGoOn && passed >= unreachableInterval
 	}
 	if !due {
 		return nil, false
@@ -73,6 +75,12 @@
 	return waits, true
 }
 
+// isRecorded reports whether a worker is recorded as unreachable: its connection
+// broke, or it has not answered for unreachableDelay.
+func (w *workerState) isRecorded(now time.Time) bool {
+	return w.lost && (!w.brokenAt.Before(w.lostSince) || now.Sub(w.lostSince) >= unreachableDelay)
+}
+
 // UnreachableWritten records the outcome of a write. One that failed may still
 // take effect.
 func (b *Board) UnreachableWritten(waits map[string]time.Duration, ok bool) {
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -54,8 +54,9 @@
 	reachable           bool
 	// brokenAt is when a connection to it broke: its process ran until then.
 	brokenAt time.Time
-	// lost is set while the worker does not answer this leader.
-	lost bool
+	// lost is set while the worker does not answer this leader, lostSince since when.
+	lost      bool
+	lostSince time.Time
 	// leaseEnd is when every run there is over if nothing more is sent.
 	leaseEnd time.Time
 	claims   map[work.TaskKey]*claim
@@ -223,7 +224,9 @@
 // MarkUnreachable records that a worker did not answer.
 func (b *Board) MarkUnreachable(id string, now time.Time) {
 	if w := b.workers[id]; w != nil {
-		w.lost = true
+		if !w.lost {
+			w.lost, w.lostSince = true, now
+		}
 		w.markLost(now)
 	}
 }
