Catch up with the changes that came while a term was loaded

Cause: a listing reads its pages one after the other, cancellations before jobs. A small host took seven seconds to load; its term began with jobs that were submitted and cancelled in between, and started them before its watch told of the cancellations.

Change: an acquisition ends with a read of the changes since the first page; if they name another term, it fails.

Test, failed before: TestAcquisitionKnowsWhatCameWhileItLoaded. New: TestAcquisitionThatWasOvertakenFails.

--- a/internal/process/leader/acquisition.go
+++ b/internal/process/leader/acquisition.go
@@ -257,15 +257,9 @@
 	if err := a.loadHandover(ctx, result); err != nil {
 		return err
 	}
-	listing, err := a.readAll(ctx, keys.work)
-	if err != nil {
+	if err := a.loadWork(ctx, result); err != nil {
 		return err
 	}
-	result.revision = listing.Revision
-	result.jobs, result.cancels, result.createRevisions = nil, nil, map[string]int64{}
-	for _, item := range listing.Items {
-		result.addItem(keys, item)
-	}
 	states, err := a.readAll(ctx, keys.state)
 	if err != nil {
 		return err
@@ -280,6 +274,62 @@
 		}
 		result.progress[item.Key[len(keys.state):]] = progress
 	}
+	return a.catchUp(ctx, result)
+}
+
+// loadWork reads the jobs and cancellations.
+func (a *acquisition) loadWork(ctx context.Context, result *acquisitionResult) error {
+	keys := &a.leader.config.Keys
+	listing, err := a.readAll(ctx, keys.work)
+	if err != nil {
+		return err
+	}
+	result.revision = listing.Revision
+	result.jobs, result.cancels, result.createRevisions = nil, nil, map[string]int64{}
+	for _, item := range listing.Items {
+		result.addItem(keys, item)
+	}
+	return nil
+}
+
+// catchUp applies the jobs and cancellations that came while the state was loaded,
+// which takes seconds on a small host. Without it the term would start with jobs
+// that were cancelled meanwhile. Errors: store.ErrNoLease if the leadership has
+// been lost; others of the store once the context has ended.
+func (a *acquisition) catchUp(ctx context.Context, result *acquisitionResult) error {
+	config := &a.leader.config
+	for {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		changes, err := config.Store.Watch(limited, config.Keys.work, result.revision, catchUpWait)
+		cancel()
+		if errors.Is(err, store.ErrCompacted) {
+			if err := a.loadWork(ctx, result); err != nil {
+				return err
+			}
+			continue
+		}
+		if err == nil {
+			return result.addChanges(&config.Keys, changes)
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("watch keys under %s: %w", config.Keys.work, err)
+		case <-time.After(pageRetryGap):
+		}
+	}
+}
+
+// addChanges adds the jobs and cancellations of changes.
+func (r *acquisitionResult) addChanges(keys *Keys, changes store.Changes) error {
+	for _, event := range changes.Events {
+		if event.Revision > r.token && (event.Key == keys.Lead || event.Key == keys.Epoch) {
+			return fmt.Errorf("%w: key %s has changed at revision %d", store.ErrNoLease, event.Key, event.Revision)
+		}
+		if !event.Removed {
+			r.addItem(keys, event.Item)
+		}
+	}
+	r.revision = max(r.revision, changes.Revision)
 	return nil
 }
 
--- a/internal/process/leader/acquisition_test.go
+++ b/internal/process/leader/acquisition_test.go
@@ -44,3 +44,51 @@
 		})
 	}
 }
+
+// Guards against the start of cancelled jobs: a host that loaded its state for six
+// seconds listed the cancellations before the jobs, and started what had been
+// submitted and cancelled in between.
+func TestAcquisitionKnowsWhatCameWhileItLoaded(t *testing.T) {
+	s := newSite(t)
+	first, _ := s.startLeader("recife-1")
+	s.submit("a")
+	s.waitCompleted(first, "a")
+	first.Resign(t.Context())
+	config := s.leaderConfig("olinda-1")
+	config.Keys = soloKeys
+	page := config.Store.Page
+	config.Store.Page = func(ctx context.Context, prefix, after string) (store.Page, error) {
+		read, err := page(ctx, prefix, after)
+		if prefix == soloKeys.work && after == "" {
+			s.submit("late")
+			s.put(soloKeys.Cancel("late"), nil)
+		}
+		return read, err
+	}
+	attempt := &acquisition{
+		leader: New(config),
+	}
+	result, err := attempt.acquire(t.Context())
+	require.NoError(t, err)
+	assert.Len(t, result.jobs, 2)
+	assert.Equal(t, []string{"late"}, result.cancels)
+}
+
+// Guards against a term that begins after it has been lost while it was loaded.
+func TestAcquisitionThatWasOvertakenFails(t *testing.T) {
+	result := &acquisitionResult{
+		token: 7,
+	}
+	require.ErrorIs(t, result.addChanges(&soloKeys, store.Changes{
+		Events: []store.Event{
+			{
+				Item: store.Item{
+					Key:      soloKeys.Lead,
+					Revision: 9,
+				},
+				Removed: true,
+			},
+		},
+		Revision: 9,
+	}), store.ErrNoLease)
+}
--- a/internal/process/leader/competition_test.go
+++ b/internal/process/leader/competition_test.go
@@ -53,7 +53,11 @@
 	}
 	c.memory = standin.NewMemory(c.now)
 	client := c.memory.Client()
-	client.Watch = func(ctx context.Context, _ string, _ int64, _ time.Duration) (store.Changes, error) {
+	watch := client.Watch
+	client.Watch = func(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
+		if wait == catchUpWait {
+			return watch(ctx, prefix, after, 0)
+		}
 		<-ctx.Done()
 		return store.Changes{}, ctx.Err()
 	}
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -131,6 +131,8 @@
 	// again. After an outage the other hosts leave a lapsed leadership to it for so
 	// long: it knows where all tasks run, and a successor has to find out.
 	resumeTime = renewInterval + callTimeout
+	// catchUpWait is how long the last read of a new leader waits for changes.
+	catchUpWait = time.Millisecond
 	// pageRetryGap is the pause after a page of a listing that could not be read.
 	pageRetryGap = 100 * time.Millisecond
 	// pollWait is how long a poll waits for a run to end. Workers' leases are
