Count a stalled run once, however often its stop is refused

Seen: rereading the change. A task that hangs on a worker which refuses its stops was left alone after a few of them.

Cause: each repetition of the stop counted as another stalled run, and doubled the time for which the task may show no progress, up to 64 times.

Change: a claim remembers that it has stalled until it makes progress. The constant that had the name of a method is minProgressTimeout now.

Looked at beside it: serving tasks, which have no percent, are judged by their latency at each scan as before.

--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -73,6 +73,9 @@
 	// changed.
 	progress     int
 	lastProgress time.Time
+	// stalled is set once the run has been stopped for want of progress, until it
+	// makes progress again.
+	stalled bool
 	// saved is the progress of the checkpoint that the run began with.
 	saved int
 }
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -167,7 +167,7 @@
 		held.barred, held.stopping = time.Time{}, time.Time{} // the stop was lost
 	}
 	if row.Percent != held.progress {
-		held.progress, held.lastProgress = row.Percent, now
+		held.progress, held.lastProgress, held.stalled = row.Percent, now, false
 		if held.longRunning && row.Percent == reserve.FullProgress {
 			b.learnRestart(held, now)
 		}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -45,7 +45,7 @@
 	avoid string
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
-	// stalls counts the runs that were stopped for want of progress.
+	// stalls counts the runs that have stalled.
 	stalls int
 	// endedAt is when the last run ended.
 	endedAt time.Time
--- a/internal/process/schedule/stalled.go
+++ b/internal/process/schedule/stalled.go
@@ -5,15 +5,14 @@
 // Load pattern: on some workers tasks make no progress although the worker
 // answers, and serving tasks there keep their users waiting indefinitely.
 const (
-	// progressTimeout is how long a task may show no progress at least, and
-	// progressFraction the part of its expected run time that it may: ten percent
-	// points that are not seen.
-	progressTimeout  = 3 * time.Second
-	progressFraction = 10
-	// freeStalls is how often a task is stopped for it before that time doubles:
-	// several workers may hang. maxStalls bounds the doublings.
-	freeStalls = 2
-	maxStalls  = 6
+	// minProgressTimeout is the least time for which a task may show no progress.
+	// A longer task may for the time that 1/progressFraction of it takes.
+	minProgressTimeout = 3 * time.Second
+	progressFraction   = 10
+	// freeStalls is the number of stalled runs of a task before that time doubles:
+	// several workers may hang. maxDoublings bounds it.
+	freeStalls   = 2
+	maxDoublings = 6
 	// maxReportAge is how old a report may be for a task to be considered
 	// stalled.
 	maxReportAge = 2 * time.Second
@@ -39,19 +38,21 @@
 			if step.spec.Gang || !held.isStalled(now, b.progressTimeout(j, step, t)) {
 				continue
 			}
-			t.stalls++
+			if !held.stalled {
+				held.stalled = true
+				t.stalls++
+			}
 			w.health.record(EndedFailed, now)
 			b.stop(w.ID, key, held.run, "stands_still")
 		}
 	}
 }
 
-// progressTimeout is how long a task may show no progress. A task that was stopped
-// for it more often gets twice as long each time: its run time may be
-// underestimated.
+// progressTimeout is how long a task may show no progress. It doubles with each
+// stalled run after freeStalls, as the run time may be underestimated.
 func (b *Board) progressTimeout(j *job, step *stepState, t *task) time.Duration {
-	timeout := max(progressTimeout, b.estimates.runTime(j.work.Queue, step.spec)/progressFraction)
-	return timeout << min(max(0, t.stalls-freeStalls), maxStalls)
+	timeout := max(minProgressTimeout, b.estimates.runTime(j.work.Queue, step.spec)/progressFraction)
+	return timeout << min(max(0, t.stalls-freeStalls), maxDoublings)
 }
 
 // isStalled reports whether a run makes no progress for longer than the timeout,
@@ -63,5 +64,5 @@
 	case c.longRunning || c.throttle == 0:
 		return false
 	}
-	return now.Sub(c.lastProgress) > timeout
+	return c.stalled || now.Sub(c.lastProgress) > timeout
 }
--- a/internal/process/schedule/stalled_test.go
+++ b/internal/process/schedule/stalled_test.go
@@ -127,3 +127,23 @@
 		})
 	}
 }
+
+// Guards against a hung task that is left alone: its worker refused the stop again
+// and again, and each refusal doubled the time for which it may show no progress.
+func TestRefusedStopsOfAStalledTaskAreRepeated(t *testing.T) {
+	board := testBoard("w0")
+	board.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, false, testStart, testStart)
+	accept(board, board.Decide(testStart, true), testStart)
+	now, stops := testStart, 0
+	for range 100 {
+		now = now.Add(scanInterval)
+		pollWithProgress(board, "w0", 7, 0, now)
+		for _, stop := range board.Decide(now, true).Stops {
+			stops++
+			board.StopReplied(stop, Unhealthy, now)
+		}
+	}
+	assert.Greater(t, stops, 50, "one for each scan after minProgressTimeout")
+	pollWithProgress(board, "w0", 8, 0, now)
+	assert.Empty(t, board.Decide(now.Add(scanInterval), true).Stops, "it makes progress again")
+}
