Give the wait for a confirmation a field of its own

Seen: rereading the change. firstReport was set when a worker was given up too, so that it did not say when the worker first reported; the rule on failed racks and zones reads it (sharesFate).

Change: workerState.confirmAfter holds the wait, set by awaitConfirmation; firstReport has its former meaning. No test changed; those of the package pass but for the known red ones.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -180,7 +180,7 @@
 // again knows no token: it would carry out the start of a leader that was replaced
 // before. So the leadership must be confirmed after its first report.
 func (b *Board) mayOrder(w *workerState) bool {
-	return w.reachable && b.MayRequestLease(w.ID) && !w.firstReport.After(b.confirmedAt)
+	return w.reachable && b.MayRequestLease(w.ID) && !w.confirmAfter.After(b.confirmedAt)
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -216,9 +216,7 @@
 	}
 	t.phase, t.worker = waiting, ""
 	t.endedAt = now
-	if w.firstReport.After(b.confirmedAt) {
-		t.confirmAfter = now
-	}
+	t.confirmAfter = w.confirmAfter
 	step.waiting++
 	j.claims--
 	if j.claims == 0 {
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -54,7 +54,8 @@
 	b.resolveReport(id, inventory.Born, now)
 	switch {
 	case w.incarnation.IsZero():
-		w.incarnation, w.firstReport, b.confirmAfter = inventory.Born, now, now
+		w.incarnation, w.firstReport = inventory.Born, now
+		b.awaitConfirmation(w, now)
 	case inventory.Born.After(w.incarnation):
 		b.handleRestart(w, inventory.Born, now)
 	case inventory.Born.Before(w.incarnation):
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -49,9 +49,9 @@
 	stalls int
 	// endedAt is when the last run ended.
 	endedAt time.Time
-	// confirmAfter is when its worker was found to have restarted or gone, if that
-	// ended the last run. The worker may have told a successor before how the run
-	// ended, so that the next start needs a later confirmation of the leadership.
+	// confirmAfter is that of the worker of the last run when it ended. The worker
+	// may have told a successor before how the run ended, so that the next start
+	// needs a later confirmation of the leadership.
 	confirmAfter time.Time
 	// preemptedAt is when it was last preempted for a quick task.
 	preemptedAt time.Time
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -124,7 +124,7 @@
 // the end of its leases, say that only if the leadership was confirmed later: a
 // successor may have heard of the runs before.
 func (b *Board) accountedFor(w *workerState) bool {
-	return w.settledToken == b.token && !w.firstReport.After(b.confirmedAt) || !b.confirmedAt.Before(w.leaseEnd)
+	return w.settledToken == b.token && !w.confirmAfter.After(b.confirmedAt) || !b.confirmedAt.Before(w.leaseEnd)
 }
 
 // UnsettledWorker is a worker that may have runs of an earlier leader which
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -47,11 +47,13 @@
 	// settledToken is the token under which it last reported all its runs and all
 	// ends that it has not forgotten.
 	settledToken int64
-	// firstReport is when this incarnation first reported, or when it was last given
-	// up; no start is sent before the leadership is confirmed later. lostAt is when the
+	// firstReport is when this incarnation first reported, lostAt when the
 	// worker was last found unreachable.
 	firstReport, lostAt time.Time
 	reachable           bool
+	// confirmAfter is when this incarnation first reported or the worker was given
+	// up: what follows from that counts once the leadership was confirmed later.
+	confirmAfter time.Time
 	// brokenAt is when a connection to it broke: its process ran until then.
 	brokenAt time.Time
 	// lost is set while the worker does not answer this leader, lostSince since when.
@@ -189,7 +191,8 @@
 func (b *Board) handleRestart(w *workerState, born time.Time, now time.Time) {
 	w.markLost(now)
 	suspects := b.suspectsOn(w)
-	w.incarnation, w.firstReport, b.confirmAfter = born, now, now
+	w.incarnation, w.firstReport = born, now
+	b.awaitConfirmation(w, now)
 	for key, held := range w.claims {
 		if held.unanswered <= 0 {
 			b.release(w, key, now)
@@ -204,11 +207,17 @@
 	b.countCrash(w.ID, suspects, now)
 }
 
+// awaitConfirmation makes what follows from a worker's first report, or from its
+// end, wait for a later confirmation of the leadership.
+func (b *Board) awaitConfirmation(w *workerState, now time.Time) {
+	w.confirmAfter, b.confirmAfter = now, now
+}
+
 // releaseAll releases every claim of a worker whose earlier runs are certainly
 // over.
 func (b *Board) releaseAll(w *workerState, now time.Time) {
 	b.lose(w, now)
-	w.firstReport, b.confirmAfter = now, now
+	b.awaitConfirmation(w, now)
 	for key := range w.claims {
 		b.release(w, key, now)
 	}
