Wait for a confirmation only after incarnations that were not known before

Cause, of this part: each first report began a wait for a renewal that was sent later, on a host with 0.11 of a core and an event queue full of reports.

Change: an incarnation that its entry or the roster names has run since they were read. A confirmation after that suffices: a leader that has come after it would have been heard of by this very incarnation. Considered and dropped: the workers' steady clocks, which do not begin at their start (trial: 2h27m at an age of 1.4 s).

--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -200,6 +200,18 @@
 	})
 }
 
+// rosterMode encodes times with microseconds: a successor tells incarnations of a
+// worker apart by the time at which they began.
+var rosterMode = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{
+		Time: cbor.TimeUnixMicro,
+	}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 // rosterState tracks which workers are in the roster in the store.
 type rosterState struct {
 	stored        map[Target]bool
@@ -239,7 +251,7 @@
 	if !missing && !removed {
 		return
 	}
-	value, err := cbor.Marshal(roster)
+	value, err := rosterMode.Marshal(roster)
 	if err != nil {
 		klog.ErrorS(err, "roster cannot be written")
 		return
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -55,7 +55,7 @@
 	switch {
 	case w.incarnation.IsZero():
 		w.incarnation, w.firstReport = inventory.Born, now
-		b.awaitConfirmation(w, now)
+		b.awaitConfirmation(w, w.knownSince(inventory.Born, now))
 	case inventory.Born.After(w.incarnation):
 		b.handleRestart(w, inventory.Born, now)
 	case inventory.Born.Before(w.incarnation):
--- a/internal/process/schedule/restart_test.go
+++ b/internal/process/schedule/restart_test.go
@@ -146,3 +146,47 @@
 	relist(board, "w0", reborn, now)
 	assert.Len(t, board.Decide(now, true).Starts, 1)
 }
+
+// Guards against a takeover that waits for a confirmation after the first report of
+// each worker: one that ran before the term began has not started again since, and
+// would refuse a leader that has been replaced.
+func TestKnownIncarnationNeedsNoConfirmation(t *testing.T) {
+	tests := map[string]struct {
+		born time.Time
+		want int
+	}{
+		"as in the roster": {
+			born: testBorn,
+			want: 1,
+		},
+		"rounded by the record": {
+			born: testBorn.Add(300 * time.Nanosecond),
+			want: 1,
+		},
+		"started again since": {
+			born: testBorn.Add(time.Millisecond),
+		},
+		"not reported": {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			roster := testBoard("w0").Roster()
+			board := NewBoard(testConfig())
+			board.SetCatalog(testCatalog())
+			board.Begin(testToken+1, testStart)
+			board.AddRoster(roster, testStart)
+			now := testStart.Add(time.Second)
+			board.SetWorkers(map[string]Listing{"w0": roster[0]}, true, now)
+			board.ApplyReport("w0", Inventory{
+				Born:     tt.born,
+				Sent:     now,
+				Received: now,
+			}, now)
+			board.workers["w0"].Born = tt.born // its entry has been read
+			board.AddJob(testJob("a", "quotes", tasks(1, 8000)), nil, true, now, now)
+			assert.Len(t, board.Decide(now, true).Starts, tt.want)
+			board.Confirmed(now)
+			assert.Len(t, board.Decide(now, true).Starts, 1-tt.want, "once the leadership is confirmed")
+		})
+	}
+}
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -51,8 +51,10 @@
 	// worker was last found unreachable.
 	firstReport, lostAt time.Time
 	reachable           bool
-	// confirmAfter is when this incarnation first reported or the worker was given
-	// up: what follows from that counts once the leadership was confirmed later.
+	// bornSeenAt is when its entry first had the Born time that it has.
+	bornSeenAt time.Time
+	// confirmAfter is when this incarnation was first known of, or when the worker was
+	// given up: what follows from that counts once the leadership was confirmed later.
 	confirmAfter time.Time
 	// brokenAt is when a connection to it broke: its process ran until then.
 	brokenAt time.Time
@@ -110,6 +112,9 @@
 			w.markLost(now)
 			w.reportedToken, w.settledToken = 0, 0
 		}
+		if !sameTime(listing.Born, w.Born) {
+			w.bornSeenAt = now
+		}
 		w.idle += listing.Capacity.MilliCores - w.Capacity.MilliCores
 		w.Listing = listing
 		w.listed, w.leftList = true, false
@@ -137,6 +142,7 @@
 	w := &workerState{
 		Listing:       listing,
 		unlistedSince: now,
+		bornSeenAt:    now,
 		claims:        map[work.TaskKey]*claim{},
 		idle:          listing.Capacity.MilliCores,
 		serving:       map[string]int{},
@@ -192,7 +198,7 @@
 	w.markLost(now)
 	suspects := b.suspectsOn(w)
 	w.incarnation, w.firstReport = born, now
-	b.awaitConfirmation(w, now)
+	b.awaitConfirmation(w, w.knownSince(born, now))
 	for key, held := range w.claims {
 		if held.unanswered <= 0 {
 			b.release(w, key, now)
@@ -208,9 +214,24 @@
 }
 
 // awaitConfirmation makes what follows from a worker's first report, or from its
-// end, wait for a later confirmation of the leadership.
-func (b *Board) awaitConfirmation(w *workerState, now time.Time) {
-	w.confirmAfter, b.confirmAfter = now, now
+// end, wait for a confirmation of the leadership later than a time.
+func (b *Board) awaitConfirmation(w *workerState, after time.Time) {
+	w.confirmAfter, b.confirmAfter = after, later(b.confirmAfter, after)
+}
+
+// knownSince returns when an incarnation that reports for the first time was known
+// to run: it has been since its entry was read, if that says when it began.
+func (w *workerState) knownSince(born, now time.Time) time.Time {
+	if !born.IsZero() && sameTime(born, w.Born) {
+		return w.bornSeenAt
+	}
+	return now
+}
+
+// sameTime compares the times at which incarnations began, which workers give in
+// milliseconds and records may round.
+func sameTime(a, b time.Time) bool {
+	return a.Round(time.Millisecond).Equal(b.Round(time.Millisecond))
 }
 
 // releaseAll releases every claim of a worker whose earlier runs are certainly
@@ -227,7 +248,7 @@
 func (b *Board) remove(w *workerState, now time.Time) {
 	b.releaseAll(w, now)
 	delete(b.workers, w.ID)
-	b.removedAt, b.confirmAfter = now, now
+	b.removedAt, b.confirmAfter = now, later(b.confirmAfter, now)
 }
 
 // MarkUnreachable records that a worker did not answer.
