Do not resign while the store cannot be reached

Cause: the judgement of lag did not ask whether the store answers.

Change: none is made after a renewal that failed; the time for which the leader was late counts anew after the outage.

Test: TestLeaderDoesNotResignWithoutTheStore; its case "store answers" shows that the same leader resigns otherwise.

--- a/internal/process/leader/lagwatch.go
+++ b/internal/process/leader/lagwatch.go
@@ -80,6 +80,11 @@
 	if now.Sub(watch.sampledAt) < tick || t.unoccupied || t.leader.stopping {
 		return false
 	}
+	if t.renewalFailed {
+		// A resignation could not be written, and this host may lead again.
+		watch.judge.reset()
+		return false
+	}
 	if len(t.waiting) > 0 {
 		watch.orderWaited(now.Sub(t.waiting[0].queuedAt), now)
 	}
--- a/internal/process/leader/lagwatch_test.go
+++ b/internal/process/leader/lagwatch_test.go
@@ -232,3 +232,49 @@
 		})
 	}
 }
+
+// Guards against a leader that forgets where all tasks run for nothing: it lagged
+// during an outage of the store, in which nobody can succeed it, and resigned.
+func TestLeaderDoesNotResignWithoutTheStore(t *testing.T) {
+	tests := map[string]struct {
+		renewalFailed bool
+		want          bool
+	}{
+		"renewal failed": {
+			renewalFailed: true,
+		},
+		"store answers": {
+			want: true,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			leading, _ := s.startLeader("recife-1")
+			s.submit("a")
+			s.waitCompleted(leading, "a")
+			resigned := make(chan bool, 1)
+			leading.post(func(now time.Time) {
+				for _, age := range []time.Duration{reportAge, 0} {
+					leading.config.reports.add("olinda-1", HostReport{
+						MilliCores: 2 * leading.config.MilliCores,
+					}, now.Add(-steadyTime-age))
+				}
+				leading.config.reports.add("olinda-1", HostReport{
+					MilliCores: 2 * leading.config.MilliCores,
+				}, now)
+				leading.lag.sample = lagSample{
+					began:  now.Add(-time.Minute),
+					orders: time.Second,
+				}
+				leading.lag.judge = lagJudge{
+					behind: lagTime,
+				}
+				leading.lag.sampledAt = now.Add(-tick)
+				leading.term.renewalFailed = tt.renewalFailed
+				resigned <- leading.term.checkLag(t.Context(), now)
+			})
+			assert.Equal(t, tt.want, <-resigned)
+		})
+	}
+}
