Let hosts with the most processor time be first after an outage too

Cause: the time left to the former leader was counted from each host's own last failure, which differs by up to half a second; that put the hosts in any order.

Change: it is counted from the notice of the removal, 0.9 s, and the delay by processor time is tripled, so that it outweighs the differences.

Test: TestFormerLeaderGoesFirstAfterAnOutage, with the new times.

--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -77,8 +77,8 @@
 	}
 	l.vacatedBy, l.vacantSince = former, now
 	l.acquireAt = now.Add(l.config.AcquireDelay)
-	if former != 0 && formerHost != l.config.Self.Host {
-		l.acquireAt = later(l.acquireAt, l.watchFailedAt.Add(resumeTime+l.config.AcquireDelay))
+	if former != 0 && formerHost != l.config.Self.Host && now.Sub(l.watchFailedAt) < resumeTime {
+		l.acquireAt = now.Add(resumeTime + outageDelayFactor*l.config.AcquireDelay)
 	}
 	if l.yielding {
 		l.yielding, l.yieldUntil = false, now.Add(resignDelay)
@@ -90,13 +90,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (l *Leader) leaderChanged() {
 	l.config.LeaderChanged(l.leadKey.member)
 	klog.InfoS("leader changed", "shard", l.config.Shard, "host", l.leadKey.member.Host, "token", l.leadKey.revision)
--- a/internal/process/leader/compete_test.go
+++ b/internal/process/leader/compete_test.go
@@ -87,7 +87,7 @@
 		"outage just over": {
 			former:   "olinda-1",
 			failedAt: now.Add(-200 * time.Millisecond),
-			want:     resumeTime - 200*time.Millisecond + acquireDelay,
+			want:     resumeTime + outageDelayFactor*acquireDelay,
 		},
 		"outage long ago": {
 			former:   "olinda-1",
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -128,9 +128,13 @@
 	confirmGap  = 50 * time.Millisecond
 	callTimeout = 800 * time.Millisecond
 	// resumeTime is how long a leader may take to find out that the store answers
-	// again. After an outage the other hosts leave a lapsed leadership to it for so
-	// long: it knows where all tasks run, and a successor has to find out.
-	resumeTime = renewInterval + callTimeout
+	// again, and to acquire its leadership. After an outage the other hosts leave a
+	// lapsed one to it for so long: it knows where all tasks run, and a successor has
+	// to find out.
+	resumeTime = callTimeout + 100*time.Millisecond
+	// outageDelayFactor multiplies AcquireDelay then, as hosts notice the end of an
+	// outage up to half a second apart.
+	outageDelayFactor = 3
 	// catchUpWait is how long the last read of a new leader waits for changes.
 	catchUpWait = time.Millisecond
 	// pageRetryGap is the pause after a page of a listing that could not be read.
