Leave the lead after an outage only to a leader that answers

The former leader was cut off with its zone and could not come back; all waited for it. A small host that had started during the outage knew of no former leader, did not wait and led first.

Cause: the wait did not ask whether the former leader is there.

Change: a host does not wait for a leader whose link is down, or which has left the newest question without an answer (inquiry.Client.Answers). One that has not heard of a former leader waits.

Tests: TestLeaderThatLeavesAQuestionUnansweredIsSilent, two more cases of TestFormerLeaderGoesFirstAfterAnOutage. The case "nobody has led" there wanted no wait; it is "leader before not heard of" now and wants one, since a host cannot tell the two apart.

--- a/internal/connection/inquiry/inquiry.go
+++ b/internal/connection/inquiry/inquiry.go
@@ -56,6 +56,8 @@
 	number uint64
 	// pending are the questions that wait for an answer, by number.
 	pending map[uint64]chan leader.Answer
+	// silent holds the hosts that left the newest question without an answer.
+	silent map[string]bool
 	// asked holds the hosts that were sent a question since the last round of
 	// reports.
 	asked map[string]bool
@@ -70,10 +72,20 @@
 		config:  config,
 		leaders: make([]leader.Member, config.Shards),
 		pending: map[uint64]chan leader.Answer{},
+		silent:  map[string]bool{},
 		asked:   map[string]bool{},
 	}
 }
 
+// Answers reports whether a leader seems to be there: the link to its host is up,
+// and it has not left the newest question without an answer.
+func (c *Client) Answers(host string) bool {
+	c.mu.Lock()
+	silent := c.silent[host]
+	c.mu.Unlock()
+	return !silent && c.config.Hub.Connected(host)
+}
+
 // SetLeader sets the host to ask about a shard; the zero Member if there is none.
 func (c *Client) SetLeader(number int, member leader.Member) {
 	c.mu.Lock()
@@ -121,14 +133,26 @@
 	defer timer.Stop()
 	select {
 	case answer := <-result:
+		c.setSilent(target.Host, false)
 		return answer
 	case <-timer.C:
+		c.setSilent(target.Host, true)
 		klog.InfoS("leader did not answer", "shard", question.Shard, "host", target.Host, "job", question.Job, "queue", question.Queue)
 	case <-ctx.Done():
 	}
 	return leader.Answer{}
 }
 
+func (c *Client) setSilent(host string, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if silent {
+		c.silent[host] = true
+	} else {
+		delete(c.silent, host)
+	}
+}
+
 func (c *Client) removePending(number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/connection/inquiry/inquiry_test.go
+++ b/internal/connection/inquiry/inquiry_test.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +97,34 @@
 		})
 	}
 }
+
+// Guards against hosts that wait for a leader which is gone or cut off.
+func TestLeaderThatLeavesAQuestionUnansweredIsSilent(t *testing.T) {
+	leading, member := startClient(t, "recife-1", leader.Answer{
+		Known: true,
+	})
+	mute := atomic.Bool{}
+	leading.config.Answer = func(_ leader.Question, reply func(leader.Answer)) {
+		if !mute.Load() {
+			reply(leader.Answer{
+				Known: true,
+			})
+		}
+	}
+	asking, _ := startClient(t, "olinda-1", leader.Answer{})
+	assert.False(t, asking.Answers("recife-1"), "there is no link")
+	asking.SetLeader(0, member)
+	ask := func() bool {
+		return asking.Ask(t.Context(), leader.Question{
+			Job: "a",
+		}).Known
+	}
+	require.Eventually(t, ask, 10*time.Second, 10*time.Millisecond)
+	assert.True(t, asking.Answers("recife-1"))
+	mute.Store(true)
+	assert.False(t, ask())
+	assert.False(t, asking.Answers("recife-1"))
+	mute.Store(false)
+	require.Eventually(t, ask, 10*time.Second, 10*time.Millisecond)
+	assert.True(t, asking.Answers("recife-1"))
+}
--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -71,13 +71,13 @@
 
 // leadKeyRemoved handles that there was no lead key at a revision.
 func (l *Leader) leadKeyRemoved(revision int64, now time.Time) {
-	former, formerHost := l.leadKey.revision, l.leadKey.member.Host
+	former := l.leadKey
 	if !l.leadKey.remove(revision) {
 		return
 	}
-	l.vacatedBy, l.vacantSince = former, now
+	l.vacatedBy, l.vacantSince = former.revision, now
 	l.acquireAt = now.Add(l.config.AcquireDelay)
-	if former != 0 && formerHost != l.config.Self.Host && now.Sub(l.watchFailedAt) < resumeTime {
+	if now.Sub(l.watchFailedAt) < resumeTime && l.mayResume(former.member.Host) {
 		l.acquireAt = now.Add(resumeTime + outageDelayFactor*l.config.AcquireDelay)
 	}
 	if l.yielding {
@@ -90,6 +90,15 @@
 	}
 }
 
+// mayResume reports whether the former leader may acquire its leadership again, by
+// its host; the host is empty if this host has not heard of it.
+func (l *Leader) mayResume(host string) bool {
+	if host == "" {
+		return true
+	}
+	return host != l.config.Self.Host && (l.config.Answers == nil || l.config.Answers(host))
+}
+
 func (l *Leader) leaderChanged() {
 	l.config.LeaderChanged(l.leadKey.member)
 	klog.InfoS("leader changed", "shard", l.config.Shard, "host", l.leadKey.member.Host, "token", l.leadKey.revision)
--- a/internal/process/leader/compete_test.go
+++ b/internal/process/leader/compete_test.go
@@ -81,6 +81,7 @@
 	now := time.Now()
 	tests := map[string]struct {
 		former   string
+		silent   bool
 		failedAt time.Time
 		want     time.Duration
 	}{
@@ -89,6 +90,12 @@
 			failedAt: now.Add(-200 * time.Millisecond),
 			want:     resumeTime + outageDelayFactor*acquireDelay,
 		},
+		"former leader does not answer": {
+			former:   "olinda-1",
+			silent:   true,
+			failedAt: now.Add(-200 * time.Millisecond),
+			want:     acquireDelay,
+		},
 		"outage long ago": {
 			former:   "olinda-1",
 			failedAt: now.Add(-time.Minute),
@@ -103,9 +110,9 @@
 			failedAt: now,
 			want:     acquireDelay,
 		},
-		"nobody has led": {
+		"leader before not heard of": {
 			failedAt: now,
-			want:     acquireDelay,
+			want:     resumeTime + outageDelayFactor*acquireDelay,
 		},
 	}
 	for name, tt := range tests {
@@ -117,6 +124,7 @@
 				Keys:          soloKeys,
 				AcquireDelay:  acquireDelay,
 				LeaderChanged: func(Member) {},
+				Answers:       func(string) bool { return !tt.silent },
 			})
 			if tt.former != "" {
 				host.leadKeySet(Member{
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -103,6 +103,9 @@
 	// which workers it reaches. Without Reach, lost links are no cause to resign.
 	Reach     func(ctx context.Context, worker netip.AddrPort) bool
 	SendProbe func(host string, probe Probe)
+	// Answers reports whether the leader on a host seems to be there, as far as this
+	// host's links to it show. Without it, every leader does.
+	Answers func(host string) bool
 	// reports holds the reports of other hosts; the Group sets it.
 	reports *hostReports
 	// Clock is monotonic and includes time during which the machine is
@@ -129,8 +132,8 @@
 	callTimeout = 800 * time.Millisecond
 	// resumeTime is how long a leader may take to find out that the store answers
 	// again, and to acquire its leadership. After an outage the other hosts leave a
-	// lapsed one to it for so long: it knows where all tasks run, and a successor has
-	// to find out.
+	// lapsed one to it for so long if it seems to be there: it knows where all tasks
+	// run, and a successor has to find out.
 	resumeTime = callTimeout + 100*time.Millisecond
 	// outageDelayFactor multiplies AcquireDelay then, as hosts notice the end of an
 	// outage up to half a second apart.
