Remove what the change had written twice

Seen: rereading the change.

Change: one newResignation for all resignations, and no branch in giveUp for a term that cannot be there; one rule (writtenInTerm) and one encoder for the records that belong to a term; requireAllEnd and placeOf in place of repeated blocks of tests, with the same checks.

The tests of the packages pass, with the race detector where they run goroutines.

--- a/internal/process/leader/compete.go
+++ b/internal/process/leader/compete.go
@@ -174,7 +174,7 @@
 		return
 	}
 	if l.mustGiveUp(result) {
-		l.giveUp(ctx, result, now)
+		l.giveUp(ctx, result)
 		return
 	}
 	l.config.Counts.Add("leadership_taken", 1)
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -119,6 +119,13 @@
 	return schedule.Accepted, time.Second
 }
 
+// placeOf returns the worker of the last start of a task, empty without one.
+func (f *fakeWorkers) placeOf(key work.TaskKey) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.startedAt[key]
+}
+
 func (f *fakeWorkers) started(key work.TaskKey) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/process/leader/placements.go
+++ b/internal/process/leader/placements.go
@@ -30,23 +30,33 @@
 		klog.ErrorS(err, "placements key cannot be read", "revision", item.Revision)
 		return false
 	}
-	// A leader writes the key along with its lead key, or its token later.
-	return epoch.Revision != 0 && (item.Revision == epoch.Revision || token == epoch.Revision)
+	return writtenInTerm(item, token, epoch.Revision)
 }
 
-// placementsWrite returns the write that says that the records are complete
-// under a token; zero stands for that of the commit itself.
-func placementsWrite(keys *Keys, token int64) (store.Write, error) {
-	value, err := cbor.Marshal(token)
+// writtenInTerm reports whether the leader with the epoch has written an item that
+// holds a token: along with its lead key, and then without its token, or later.
+func writtenInTerm(item store.Item, token, epoch int64) bool {
+	return epoch != 0 && (item.Revision == epoch || token == epoch)
+}
+
+// encodeWrite returns the write of a key with an encoded value.
+func encodeWrite(key string, value any) (store.Write, error) {
+	encoded, err := cbor.Marshal(value)
 	if err != nil {
-		return store.Write{}, fmt.Errorf("encode key %s: %w", keys.Placements, err)
+		return store.Write{}, fmt.Errorf("encode key %s: %w", key, err)
 	}
 	return store.Write{
-		Key:   keys.Placements,
-		Value: value,
+		Key:   key,
+		Value: encoded,
 	}, nil
 }
 
+// placementsWrite returns the write that says that the records are complete
+// under a token; zero stands for that of the commit itself.
+func placementsWrite(keys *Keys, token int64) (store.Write, error) {
+	return encodeWrite(keys.Placements, token)
+}
+
 // savePlacements tells later leaders once the records of this term are complete.
 func (t *term) savePlacements(now time.Time) {
 	if t.placements.complete || t.placements.saving || t.unoccupied || now.Sub(t.placements.triedAt) < placementsInterval {
--- a/internal/process/leader/resign.go
+++ b/internal/process/leader/resign.go
@@ -16,14 +16,9 @@
 	if l.term == nil && l.leaving != nil {
 		return l.leaving.done
 	}
-	leaving := &resignation{
-		store: l.config.Store,
-		keys:  l.config.Keys,
-		done:  make(chan struct{}),
-	}
-	led := l.term != nil
+	leaving, led := l.newResignation(), l.term != nil
 	if led {
-		leaving = l.newResignation(now)
+		l.handOver(leaving, now)
 		l.stepDown(reason)
 	}
 	switch {
@@ -37,52 +32,47 @@
 	return leaving.done
 }
 
-// newResignation returns the resignation of the current term. Orders that have
+// newResignation returns a resignation without a lead key and without a handover.
+func (l *Leader) newResignation() *resignation {
+	return &resignation{
+		store: l.config.Store,
+		keys:  l.config.Keys,
+		done:  make(chan struct{}),
+	}
+}
+
+// handOver adds the lead key and the handover of the current term. Orders that have
 // not left this host are taken back, so that the successor waits for no worker
 // because of them.
-func (l *Leader) newResignation(now time.Time) *resignation {
+func (l *Leader) handOver(leaving *resignation, now time.Time) {
 	for _, queued := range l.term.waiting {
 		if queued.start != nil {
 			l.board.StartReplied(*queued.start, schedule.NotSent, now)
 		}
 	}
 	l.term.waiting = nil
-	leaving := &resignation{
-		store:    l.config.Store,
-		keys:     l.config.Keys,
-		revision: l.term.token,
-		handover: &handoverRecord{
-			Handover:     l.board.Handover(now),
-			Resignations: l.lag.judge.past(now),
-		},
-		done: make(chan struct{}),
+	leaving.handover = &handoverRecord{
+		Handover:     l.board.Handover(now),
+		Resignations: l.lag.judge.past(now),
 	}
-	if l.term.unoccupied {
-		leaving.revision = 0
+	if !l.term.unoccupied {
+		leaving.revision = l.term.token
 	}
-	return leaving
 }
 
-// mustGiveUp reports whether an acquired leadership cannot be used: this host
-// resigns, or it would resume a term that has ended.
+// mustGiveUp reports whether an acquired leadership cannot be used: this host has
+// resigned meanwhile, or it would resume a term that has ended. There is no term
+// then.
 func (l *Leader) mustGiveUp(result *acquisitionResult) bool {
-	return l.stopping || l.leaving != nil || result.resumed && l.term == nil
+	return l.leaving != nil || result.resumed && l.term == nil
 }
 
 // giveUp gives up a leadership that was just acquired. Nothing was done in it, so
 // that a handover of the term that it resumes holds.
-func (l *Leader) giveUp(ctx context.Context, result *acquisitionResult, now time.Time) {
-	if l.term != nil {
-		l.leaving = l.newResignation(now)
-		l.stepDown("gives up")
-	}
+func (l *Leader) giveUp(ctx context.Context, result *acquisitionResult) {
 	leaving := l.leaving
 	if leaving == nil {
-		leaving = &resignation{
-			store: l.config.Store,
-			keys:  l.config.Keys,
-			done:  make(chan struct{}),
-		}
+		leaving = l.newResignation()
 	}
 	l.leaving = nil
 	leaving.revision = result.token
--- a/internal/process/leader/takeover_test.go
+++ b/internal/process/leader/takeover_test.go
@@ -99,11 +99,9 @@
 	_, kill := s.startLeader("recife-1")
 	s.submitLongRunning("server", "r1")
 	startedAt := func() string {
-		s.workers.mu.Lock()
-		defer s.workers.mu.Unlock()
-		return s.workers.startedAt[work.TaskKey{
+		return s.workers.placeOf(work.TaskKey{
 			Job: "server",
-		}]
+		})
 	}
 	require.Eventually(t, func() bool { return startedAt() == "w1" }, waitTimeout, time.Millisecond)
 	s.leave("w1")
--- a/internal/process/leader/unreachable.go
+++ b/internal/process/leader/unreachable.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,7 +25,7 @@
 // A record that it did not write says nothing: a leader of an earlier release has
 // led since.
 func unreachableWaits(item store.Item, epoch int64) map[string]time.Duration {
-	if item.Revision == 0 || epoch == 0 {
+	if item.Revision == 0 {
 		return nil
 	}
 	var record unreachableRecord
@@ -34,24 +33,17 @@
 		klog.ErrorS(err, "record of unreachable workers cannot be read", "key", item.Key, "revision", item.Revision)
 		return nil
 	}
-	if item.Revision != epoch && record.Token != epoch {
+	if !writtenInTerm(item, record.Token, epoch) {
 		return nil
 	}
 	return record.Waits
 }
 
 func (k Keys) unreachableWrite(token int64, waits map[string]time.Duration) (store.Write, error) {
-	value, err := cbor.Marshal(unreachableRecord{
+	return encodeWrite(k.Unreachable, unreachableRecord{
 		Token: token,
 		Waits: waits,
 	})
-	if err != nil {
-		return store.Write{}, fmt.Errorf("encode key %s: %w", k.Unreachable, err)
-	}
-	return store.Write{
-		Key:   k.Unreachable,
-		Value: value,
-	}, nil
 }
 
 // saveUnreachable writes the record of unreachable workers when it is due.
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -183,13 +183,6 @@
 	return w.reachable && b.MayRequestLease(w.ID) && !w.confirmAfter.After(b.confirmedAt)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // EarlierTermEnded records when the leader before is known to have lost the
 // leadership, if that is earlier than the start of this term.
 func (b *Board) EarlierTermEnded(at time.Time) {
--- a/internal/process/schedule/claims_test.go
+++ b/internal/process/schedule/claims_test.go
@@ -141,13 +141,7 @@
 		for range 300 {
 			sim.tick()
 		}
-		for id, spec := range sim.specs {
-			state, known := sim.board.State(id)
-			require.True(t, known)
-			if !spec.LongRunning() {
-				require.True(t, state.Final(), "job %s is %s", id, state)
-			}
-		}
+		sim.requireAllEnd()
 		for key, t := range sim.waitingTasks() {
 			require.Fail(sim.t, "a long-running task waits beside free capacity", "%s, last on %v", key, t.lastWorkers)
 		}
--- a/internal/process/schedule/ends_test.go
+++ b/internal/process/schedule/ends_test.go
@@ -118,10 +118,6 @@
 		for range 400 {
 			sim.tick()
 		}
-		for id := range sim.specs {
-			state, known := sim.board.State(id)
-			require.True(t, known)
-			require.True(t, state.Final(), "job %s is %s", id, state)
-		}
+		sim.requireAllEnd()
 	})
 }
--- a/internal/process/schedule/handover.go
+++ b/internal/process/schedule/handover.go
@@ -115,3 +115,10 @@
 	}
 	return b
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/process/schedule/inventory_test.go
+++ b/internal/process/schedule/inventory_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -94,10 +93,6 @@
 		for range 300 {
 			sim.tick()
 		}
-		for id := range sim.specs {
-			state, known := sim.board.State(id)
-			require.True(t, known)
-			require.True(t, state.Final(), "job %s is %s", id, state)
-		}
+		sim.requireAllEnd()
 	})
 }
--- a/internal/process/schedule/racks_simulation_test.go
+++ b/internal/process/schedule/racks_simulation_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 
-	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -45,10 +44,6 @@
 			sim.preferRacks()
 			sim.tick()
 		}
-		for id := range sim.specs {
-			state, known := sim.board.State(id)
-			require.True(t, known)
-			require.True(t, state.Final(), "job %s is %s", id, state)
-		}
+		sim.requireAllEnd()
 	})
 }
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -685,6 +685,15 @@
 	t.Logf("%d preemptions", preempted)
 }
 
+// requireAllEnd checks that all jobs have ended but those that are long-running.
+func (sim *simulation) requireAllEnd() {
+	for id, spec := range sim.specs {
+		state, known := sim.board.State(id)
+		require.True(sim.t, known, "job %s", id)
+		require.True(sim.t, state.Final() || spec.LongRunning(), "job %s is %s", id, state)
+	}
+}
+
 // TestAllWorkEnds stops the faults after a while: every job must then end.
 func TestAllWorkEnds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -702,11 +711,7 @@
 		for range 600 {
 			sim.tick()
 		}
-		for id := range sim.specs {
-			state, known := sim.board.State(id)
-			require.True(t, known)
-			require.True(t, state.Final(), "job %s is %s", id, state)
-		}
+		sim.requireAllEnd()
 	})
 }
 
--- a/internal/process/schedule/unreachable_test.go
+++ b/internal/process/schedule/unreachable_test.go
@@ -111,12 +111,6 @@
 		for range 300 {
 			sim.tick()
 		}
-		for id, spec := range sim.specs {
-			state, known := sim.board.State(id)
-			require.True(t, known)
-			if !spec.LongRunning() {
-				require.True(t, state.Final(), "job %s is %s", id, state)
-			}
-		}
+		sim.requireAllEnd()
 	})
 }
