Use a restarted worker whose clock was set back

What callers see: a job has nothing running although the worker that it ran on is up and empty; new work does not go there either.

Cause: reports of an incarnation with an earlier birth than the one before were taken for delayed answers and dropped. The worker's polls were answered, so that they went on to extend the leases of runs that were gone, and nothing released their claims. The worker's new entry was not accepted as current either.

Change: a report is a delayed answer only if its call was sent before the newest report was applied; a worker has one poll in flight. Any other birth is a restart, and the entry is current if its birth is that of the incarnation.

Evidence: TestWorkerIsUsedAfterItsClockWasSetBack, whose two cases failed before. Ruled out: late answers of an earlier incarnation are still dropped (TestLateAnswerOfEarlierIncarnationIsDropped).

--- a/internal/process/schedule/crashes.go
+++ b/internal/process/schedule/crashes.go
@@ -164,7 +164,7 @@
 		return
 	}
 	delete(b.lost, id)
-	if born.After(lost.incarnation) {
+	if !born.Equal(lost.incarnation) {
 		b.countCrash(id, lost.suspects, now)
 	}
 }
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -51,15 +51,17 @@
 	if w == nil {
 		return nil
 	}
+	if inventory.Born.Before(w.incarnation) && inventory.Sent.Before(w.lastReport) {
+		return nil // a delayed answer of an earlier incarnation
+	}
 	b.resolveReport(id, inventory.Born, now)
 	switch {
 	case w.incarnation.IsZero():
 		w.incarnation, w.firstReport = inventory.Born, now
 		b.awaitConfirmation(w, w.knownSince(inventory.Born, now))
-	case inventory.Born.After(w.incarnation):
+	case !inventory.Born.Equal(w.incarnation):
+		// Born is earlier than before if the machine's wall clock was set back.
 		b.handleRestart(w, inventory.Born, now)
-	case inventory.Born.Before(w.incarnation):
-		return nil // a delayed answer of an earlier incarnation
 	}
 	if w.reportedToken != b.token {
 		// From here on no other leader can extend the leases there.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -65,7 +65,7 @@
 // usable reports whether a worker may be given tasks. Of one that has started again,
 // the kind and the capacity are known only once its new entry has been read.
 func (b *Board) usable(w *workerState, now time.Time) bool {
-	current := w.Born.IsZero() || !w.Born.Before(w.incarnation)
+	current := w.Born.IsZero() || sameTime(w.Born, w.incarnation)
 	return current && w.listed && !w.Draining && b.mayOrder(w) && w.reportedToken == b.token &&
 		!b.evacuated[w.Zone] && now.After(w.blockedUntil)
 }
--- a/internal/process/schedule/restart_test.go
+++ b/internal/process/schedule/restart_test.go
@@ -190,3 +190,58 @@
 		})
 	}
 }
+
+// Guards against a worker whose reports are dropped for good: it crashes, and the
+// wall clock of its machine is behind when it starts again. Its polls are answered
+// and extend the leases of runs that are gone, so that nothing releases them.
+func TestWorkerIsUsedAfterItsClockWasSetBack(t *testing.T) {
+	tests := map[string]struct {
+		// listedFirst is set if the entry is read before the first report.
+		listedFirst bool
+	}{
+		"entry before the report": {
+			listedFirst: true,
+		},
+		"report before the entry": {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			board.AddJob(testJob("a", "quotes", tasks(1, 8000)), nil, false, testStart, testStart)
+			effects := board.Decide(testStart, true)
+			require.Len(t, effects.Starts, 1)
+			accept(board, effects, testStart)
+
+			reborn := testBorn.Add(-time.Minute)
+			now := testStart.Add(time.Second)
+			board.MarkUnreachable("w0", now)
+			if tt.listedFirst {
+				relist(board, "w0", reborn, now)
+			}
+			now = now.Add(time.Second)
+			board.LeaseExtended("w0", now)
+			report(board, "w0", reborn, now)
+			relist(board, "w0", reborn, now)
+			board.LeaseExtended("w0", now)
+			report(board, "w0", reborn, now.Add(time.Millisecond))
+			effects = board.Decide(now.Add(time.Millisecond), true)
+			require.Len(t, effects.Starts, 1, "the run ended with the worker")
+		})
+	}
+}
+
+// Guards against an answer of an earlier incarnation that is taken for a later one:
+// its call was sent before the newest report arrived.
+func TestLateAnswerOfEarlierIncarnationIsDropped(t *testing.T) {
+	board := testBoard("w0")
+	now := testStart.Add(time.Second)
+	reborn := testBorn.Add(time.Minute)
+	report(board, "w0", reborn, now)
+	relist(board, "w0", reborn, now)
+	board.ApplyReport("w0", Inventory{
+		Born:     testBorn,
+		Sent:     now.Add(-time.Millisecond),
+		Received: now.Add(time.Second),
+	}, now.Add(time.Second))
+	assert.Equal(t, reborn, board.workers["w0"].incarnation)
+}
