Do not start a task while another run of it is stopped

What callers see: a worker with room gets nothing, and an organisation below its limit starts nothing, until the leader changes.

Cause: a run that the leader did not know of, listed while its task is claimed elsewhere, holds a claim of its own until it has ended. If the other claim ended first, the task was placed again, possibly on the same worker. A worker has one claim of a task: the second replaced the first, whose size stayed in the totals of worker and organisation for good.

Change: a task with such a run starts only once that has ended. That also keeps two runs of it from being up at once.

Evidence: TestTaskIsNotPlacedWhileAnotherRunOfItIsStopped, which failed before with 2000 millicores in use for one claim of 1000. It takes a start that is carried out by a restarted worker after the leader has given it up.

--- a/internal/process/schedule/claims_test.go
+++ b/internal/process/schedule/claims_test.go
@@ -147,3 +147,39 @@
 		}
 	})
 }
+
+// Guards against capacity that is claimed for good: a run of which the leader did
+// not know is listed while its task is claimed elsewhere, that claim ends first, and
+// the task is placed beside the run. The second claim replaced the first one, whose
+// size stayed in the totals.
+func TestTaskIsNotPlacedWhileAnotherRunOfItIsStopped(t *testing.T) {
+	board := testBoard("w0", "w1")
+	board.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, false, testStart, testStart)
+	effects := board.Decide(testStart, true)
+	require.Len(t, effects.Starts, 1)
+	start := effects.Starts[0]
+	other := map[string]string{"w0": "w1", "w1": "w0"}[start.Worker]
+	unknown := Inventory{
+		Born: testBorn,
+		Running: []RunningTask{
+			{
+				Key: start.Key,
+				Run: start.Run - 1,
+			},
+		},
+		Sent: testStart,
+	}
+	board.ApplyReport(other, unknown, testStart)
+	board.StartReplied(start, Unhealthy, testStart)
+	now := testStart.Add(pauseRetry)
+	effects = board.Decide(now, true)
+	assert.Empty(t, effects.Starts, "the other run has not ended")
+	require.NotEmpty(t, effects.Stops)
+	requireConsistent(t, board)
+
+	board.StopReplied(effects.Stops[0], Accepted, now)
+	now = now.Add(2 * testStopGrace)
+	report(board, other, testBorn, now)
+	assert.Len(t, board.Decide(now, true).Starts, 1)
+	requireConsistent(t, board)
+}
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -144,6 +144,7 @@
 		held := newClaim(j, step.spec, row.Run, now)
 		held.confirmed, held.orphaned = true, true
 		w.addClaim(row.Key, held)
+		t.orphanedOn = append(t.orphanedOn, w.ID)
 		b.stop(w.ID, row.Key, row.Run, "not_wanted")
 		return nil
 	}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -61,6 +61,9 @@
 	// never started.
 	located     bool
 	lastWorkers []string
+	// orphanedOn lists workers with orphaned runs of the task, which may have ended.
+	// While one has not, the task does not start: a worker has one claim of a task.
+	orphanedOn []string
 }
 
 // stepState is one step of one occurrence.
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -73,7 +73,7 @@
 // mayStartTask reports whether a task is certain not to be running already, or to
 // be done, and is not to be given up once its job is settled.
 func (b *Board) mayStartTask(j *job, t *task) bool {
-	if t.confirmAfter.After(b.confirmedAt) {
+	if t.confirmAfter.After(b.confirmedAt) || b.hasOrphan(t) {
 		return false
 	}
 	if j.inherited == 0 {
@@ -85,6 +85,18 @@
 	return t.located && len(t.crashes) < maxDoubtfulCrashes && len(b.unsettledWorkers(t)) == 0
 }
 
+// hasOrphan reports whether a run of the task that is being stopped has not ended.
+func (b *Board) hasOrphan(t *task) bool {
+	if len(t.orphanedOn) == 0 {
+		return false
+	}
+	t.orphanedOn = slices.DeleteFunc(t.orphanedOn, func(id string) bool {
+		w := b.workers[id]
+		return w == nil || w.claims[t.key] == nil || !w.claims[t.key].orphaned
+	})
+	return len(t.orphanedOn) > 0
+}
+
 // unsettledWorkers returns the last workers of a task that are not accounted
 // for.
 func (b *Board) unsettledWorkers(t *task) []string {
