End the reservations on a worker that is removed

What callers see: starts refused for want of room, and on workers that do not guard their capacity more running than they hold, until the leader changes.

Cause: a reservation outlived its worker by up to a second. If a worker with the same id was listed by then, the end of the reservation was taken off the new one.

Change: the reservations on a worker end with it.

Evidence: TestReservationEndsWithItsWorker, which failed before (reserved -4000).

--- a/internal/process/schedule/claims_test.go
+++ b/internal/process/schedule/claims_test.go
@@ -183,3 +183,27 @@
 	assert.Len(t, board.Decide(now, true).Starts, 1)
 	requireConsistent(t, board)
 }
+
+// Guards against totals of a worker that stay wrong after it was removed and listed
+// again within the term of a reservation: the capacity kept on the earlier one was
+// taken off the new one, which then got more than it holds.
+func TestReservationEndsWithItsWorker(t *testing.T) {
+	board := testBoard("w0")
+	board.AddJob(testJob("a", "plans", tasks(8, 1000)), nil, false, testStart, testStart)
+	accept(board, board.Decide(testStart, true), testStart)
+	board.AddJob(testJob("b", "quotes", tasks(1, 4000)), nil, false, testStart, testStart)
+	require.NotEmpty(t, board.Decide(testStart, true).Stops, "the quick task preempts")
+	require.NotEmpty(t, board.reservations)
+
+	listing := board.workers["w0"].Listing
+	listing.Draining = true
+	board.SetWorkers(map[string]Listing{"w0": listing}, true, testStart)
+	board.Closed("w0")
+	board.SetWorkers(nil, true, testStart)
+	require.Empty(t, board.workers)
+	listing.Draining, listing.Born = false, testBorn.Add(time.Minute)
+	board.SetWorkers(map[string]Listing{"w0": listing}, true, testStart)
+	requireConsistent(t, board)
+	board.Decide(testStart.Add(2*reservationTerm), true)
+	requireConsistent(t, board)
+}
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -247,6 +247,11 @@
 // remove drops a worker whose runs are certainly over.
 func (b *Board) remove(w *workerState, now time.Time) {
 	b.releaseAll(w, now)
+	for key, held := range b.reservations {
+		if held.worker == w.ID {
+			b.unreserve(key)
+		}
+	}
 	delete(b.workers, w.ID)
 	b.removedAt, b.confirmAfter = now, later(b.confirmAfter, now)
 }
