Keep capacity only for preempted tasks that may start

What callers see: jobs wait beside a worker that is empty, for as long as an organisation is at its limit or a queue's service stays changed.

Cause: the capacity of a preempted long-running task is kept for it, second by second, until it starts again. That it may not start there was not asked: its organisation's limit was lowered, or its queue moved to another service. In the second case it was even started on the worker of the former service, and a step that needs tickets without one. Several tasks could return at once although the limit admits one.

Change: capacity is kept, and the tasks return, under the conditions of other starts: pool, limit, label and spread.

Evidence: TestCapacityIsKeptOnlyForTasksThatMayStart, whose cases failed before; TestCapacityIsReturnedOnceTheTaskMayStart holds as before.

--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
@@ -38,7 +39,7 @@
 			// here would only be missing elsewhere.
 			delete(b.urgentCapacity.preempted, key)
 			b.unreserve(key)
-		case now.Sub(t.endedAt) >= returnAfter && b.usable(w, now):
+		case now.Sub(t.endedAt) >= returnAfter && b.mayReturn(j, step, t, w, now):
 			if _, ok := b.reservations[key]; !ok {
 				b.keep(key, w, reservedSize(step.spec), now)
 			}
@@ -46,6 +47,13 @@
 	}
 }
 
+// mayReturn reports whether a preempted task may start again on the worker that it
+// was on once there is room. Its queue may have moved to another service, and its
+// organisation may be at a limit that was lowered.
+func (b *Board) mayReturn(j *job, step *stepState, t *task, w *workerState, now time.Time) bool {
+	return w.Service == b.serviceOf(j) && b.usable(w, now) && b.eligible(w, step, t) && j.account.Admits(step.spec.Size)
+}
+
 // longRunningSize is the capacity that long-running runs claim.
 func (w *workerState) longRunningSize() worker.Size {
 	var size worker.Size
@@ -68,8 +76,8 @@
 }
 
 // placeReturning starts the tasks of a long-running step whose capacity is being
-// returned and free.
-func (b *Board) placeReturning(j *job, step *stepState, now time.Time) {
+// returned and free, on workers that the step may be given.
+func (b *Board) placeReturning(j *job, step *stepState, pool []*workerState, now time.Time) {
 	if !step.spec.LongRunning || step.spec.Gang || len(b.urgentCapacity.preempted) == 0 {
 		return
 	}
@@ -82,7 +90,7 @@
 			continue
 		}
 		w := b.workers[held.worker]
-		if w != nil && b.usable(w, now) && held.size.FitsIn(w.Capacity.Sub(w.used)) && b.eligible(w, step, t) {
+		if w != nil && slices.Contains(pool, w) && j.account.Admits(step.spec.Size) && held.size.FitsIn(w.Capacity.Sub(w.used)) && b.eligible(w, step, t) {
 			b.start(w, j, step, t, b.nextRun(), now)
 		}
 	}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -101,7 +101,7 @@
 		return
 	}
 	urgent := b.urgent(j) && !step.spec.Filler
-	b.placeReturning(j, step, now)
+	b.placeReturning(j, step, pool, now)
 	ruledOut := !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID)
 	if ruledOut && !step.spec.LongRunning {
 		return
