Keep shortages of quick and long-running jobs apart

What callers see: long-running tasks wait beside a worker with room while quick ones of their size wait.

Cause: sizes that did not fit were recorded for a service, but quick jobs are not placed on workers that are excluded after failures, and long-running ones are.

Change: they are recorded for a pool.

Evidence: TestShortageOfQuickTasksDoesNotHoldLongRunningOnes, which failed before.

--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -15,7 +15,7 @@
 	candidates := b.ranked(func(j *job) bool {
 		return j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated)
 	}, now)
-	shortages := map[string]*shortage{}
+	shortages := map[poolKey]*shortage{}
 	pools := map[poolKey][]*workerState{}
 	for _, j := range candidates {
 		if b.startsLeft <= 0 {
@@ -28,16 +28,16 @@
 		if _, ok := pools[key]; !ok {
 			pools[key] = b.pool(key, now)
 		}
-		if shortages[key.service] == nil {
-			shortages[key.service] = newShortage()
+		if shortages[key] == nil {
+			shortages[key] = newShortage()
 		}
 		if len(pools[key]) > 0 {
-			b.placeJob(j, pools[key], shortages[key.service], now)
+			b.placeJob(j, pools[key], shortages[key], now)
 		}
 	}
-	for service, found := range shortages {
+	for key, found := range shortages {
 		if found.lacking {
-			b.shortAt[service] = now
+			b.shortAt[key.service] = now
 		}
 	}
 }
--- /dev/null
+++ b/internal/process/schedule/shortage_test.go
@@ -0,0 +1,42 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a long-running task that waits beside a worker with room, since a
+// quick one of its size waits: quick tasks do not use workers that are excluded
+// after failures, long-running ones do.
+func TestShortageOfQuickTasksDoesNotHoldLongRunningOnes(t *testing.T) {
+	board := testBoard("w0")
+	board.workers["w0"].health.until = testStart.Add(longestPause)
+	board.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, false, testStart, testStart)
+	long := testJob("long", "plans", tasks(1, 1000))
+	long.Steps[0].LongRunning = true
+	board.AddJob(long, nil, false, testStart, testStart)
+	board.AddJob(testJob("b", "plans", tasks(1, 1000)), nil, false, testStart, testStart)
+	board.catalog.Queues["plans"] = testCatalog().Queues["plans"]
+	other := addTrusted(board, "w1", 500, testStart)
+	require.True(t, board.usable(other, testStart))
+	effects := decideAndSave(board, testStart)
+	require.Len(t, effects.Starts, 1)
+	assert.Equal(t, "long", effects.Starts[0].Key.Job)
+}
+
+// addTrusted adds a worker with few cores.
+func addTrusted(board *Board, id string, milliCores int64, now time.Time) *workerState {
+	listings := map[string]Listing{}
+	for _, w := range board.workers {
+		listings[w.ID] = w.Listing
+	}
+	added := listings["w0"]
+	added.ID, added.Address, added.Capacity.MilliCores = id, testAddress(9), milliCores
+	listings[id] = added
+	board.SetWorkers(listings, true, now)
+	report(board, id, testBorn, now)
+	return board.workers[id]
+}
