Compare all resources of fillers that did not fit

What callers see: fillers wait beside free capacity for as long as one of their image waits that asks for more memory than any worker has.

Cause: for fillers that did not fit, image and cores were recorded, and fillers of that image with as many cores were passed over whatever memory they ask for.

Change: the whole size is recorded, as for other tasks.

Evidence: TestFillerIsNotHeldByOneWithMoreMemory, which failed before.

--- a/internal/process/schedule/shortage.go
+++ b/internal/process/schedule/shortage.go
@@ -5,21 +5,20 @@
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
-// shortage records the sizes that did not fit in this decision, so that the
-// same is not searched for again: there are many more waiting tasks than
+// shortage records the sizes that did not fit into a pool in this decision, so that
+// the same is not searched for again: there are many more waiting tasks than
 // distinct sizes.
 type shortage struct {
 	sizes []worker.Size
-	// fillers is, by image, the least number of millicores requested by a
-	// filler that did not fit.
-	fillers map[string]int64
+	// fillers holds, by image, the sizes of fillers that did not fit.
+	fillers map[string][]worker.Size
 	// lacking is set once a task did not fit.
 	lacking bool
 }
 
 func newShortage() *shortage {
 	return &shortage{
-		fillers: map[string]int64{},
+		fillers: map[string][]worker.Size{},
 	}
 }
 
@@ -29,11 +28,11 @@
 	if spec.Label != "" || spec.Spread != 0 {
 		return false
 	}
+	sizes := s.sizes
 	if spec.Filler {
-		least, ok := s.fillers[spec.Image]
-		return ok && spec.Size.MilliCores >= least
+		sizes = s.fillers[spec.Image]
 	}
-	for _, size := range s.sizes {
+	for _, size := range sizes {
 		if size.FitsIn(spec.Size) {
 			return true
 		}
@@ -46,7 +45,7 @@
 	switch {
 	case spec.Label != "" || spec.Spread != 0 || t.avoid != "":
 	case spec.Filler:
-		s.fillers[spec.Image] = spec.Size.MilliCores
+		s.fillers[spec.Image] = append(s.fillers[spec.Image], spec.Size)
 	default:
 		s.sizes = append(s.sizes, spec.Size)
 	}
--- a/internal/process/schedule/shortage_test.go
+++ b/internal/process/schedule/shortage_test.go
@@ -40,3 +40,19 @@
 	report(board, id, testBorn, now)
 	return board.workers[id]
 }
+
+// Guards against fillers that wait beside free capacity, since one of the same image
+// and as many cores does not fit for its memory.
+func TestFillerIsNotHeldByOneWithMoreMemory(t *testing.T) {
+	board := testBoard("w0")
+	large := tasks(1, 1000)
+	large.Filler, large.Image, large.Size.MemoryBytes = true, "print", 2<<30
+	small := large
+	small.Size.MemoryBytes = 1 << 20
+	small.Size.MilliCores = 2000
+	board.AddJob(testJob("a", "plans", large), nil, false, testStart, testStart)
+	board.AddJob(testJob("b", "plans", small), nil, false, testStart, testStart)
+	effects := board.Decide(testStart, true)
+	require.Len(t, effects.Starts, 1)
+	assert.Equal(t, "b", effects.Starts[0].Key.Job)
+}
