Measure the utilization for starving fillers by service

What callers see: a job of fillers has nothing running although its service is nearly empty, for as long as another service is full.

Cause: a filler that disturbs all serving tasks beside it is placed all the same after a second while utilization is low, and utilization was that of all services together.

Change: it is that of the job's service.

Evidence: TestFillerStarvesByTheUseOfItsService, whose case of a full other service failed before.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -79,9 +79,9 @@
 	// open holds the jobs that are not in a final state.
 	open    map[string]*job
 	workers map[string]*workerState
-	// lowUtilization is set if the allocated share of the workers' cores was
-	// below lowUtilizationBound at the last decision.
-	lowUtilization bool
+	// lowUtilization is set for the services of which the allocated share of the
+	// workers' cores was below lowUtilizationBound at the last decision.
+	lowUtilization map[string]bool
 	// cancelled holds jobs whose cancellation arrived before their record.
 	cancelled map[string]bool
 	// evacuated holds the withdrawn zones, which get no new tasks.
@@ -127,6 +127,7 @@
 		jobs:           map[string]*job{},
 		open:           map[string]*job{},
 		workers:        map[string]*workerState{},
+		lowUtilization: map[string]bool{},
 		cancelled:      map[string]bool{},
 		evacuated:      map[string]bool{},
 		reservations:   map[work.TaskKey]reservation{},
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -67,8 +67,8 @@
 	// to protect the tail latency of others, while utilization is low. Then one
 	// filler is placed where it interferes least, to be throttled there.
 	starvationTimeout = time.Second
-	// lowUtilizationBound is the allocated share of the cores below which
-	// utilization is low: users expect work to progress while much capacity is
+	// lowUtilizationBound is the allocated share of a service's cores below which
+	// its utilization is low: users expect work to progress while much capacity is
 	// free.
 	lowUtilizationBound = 0.65
 )
@@ -76,7 +76,7 @@
 // starving reports whether a job has had nothing running for too long.
 func (b *Board) starving(id string) bool {
 	j := b.open[id]
-	return j != nil && b.lowUtilization && j.claims == 0 && b.now.Sub(j.idleSince) > starvationTimeout
+	return j != nil && j.claims == 0 && b.now.Sub(j.idleSince) > starvationTimeout && b.lowUtilization[b.serviceOf(j)]
 }
 
 // Weights of a worker's score. Each is well above the next, so that they decide
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -17,7 +17,7 @@
 		b.retryStarts()
 		b.sendRecordedStarts(now)
 	}
-	b.lowUtilization = b.allocatedShare() < lowUtilizationBound
+	b.measureUtilization()
 	b.drain(now)
 	if now.Sub(b.lastScan) >= scanInterval {
 		b.lastScan = now
@@ -53,16 +53,20 @@
 		cmp.Compare(a.Step, c.Step), cmp.Compare(a.Index, c.Index))
 }
 
-// allocatedShare is the claimed share of the cores of reachable workers.
-func (b *Board) allocatedShare() float64 {
-	allocated, capacity := int64(0), int64(0)
+// measureUtilization finds the services of which little is claimed of the cores of
+// reachable workers.
+func (b *Board) measureUtilization() {
+	claimed, capacity := map[string]int64{}, map[string]int64{}
 	for _, w := range b.workers {
 		if w.reachable && w.listed && !w.Draining {
-			allocated += w.used.MilliCores
-			capacity += w.Capacity.MilliCores
+			claimed[w.Service] += w.used.MilliCores
+			capacity[w.Service] += w.Capacity.MilliCores
 		}
 	}
-	return ratio(allocated, capacity)
+	clear(b.lowUtilization)
+	for service, whole := range capacity {
+		b.lowUtilization[service] = ratio(claimed[service], whole) < lowUtilizationBound
+	}
 }
 
 // retryStarts repeats starts that got no answer. A claim may have ended since
--- a/internal/process/schedule/shortage_test.go
+++ b/internal/process/schedule/shortage_test.go
@@ -56,3 +56,50 @@
 	require.Len(t, effects.Starts, 1)
 	assert.Equal(t, "b", effects.Starts[0].Key.Job)
 }
+
+// Guards against a filler that waits for good beside free capacity: it disturbs what
+// serves on its own service's workers, which are nearly empty, and another service
+// is full. Users expect work to progress while their service has room.
+func TestFillerStarvesByTheUseOfItsService(t *testing.T) {
+	tests := map[string]struct {
+		// millCores is what runs on the worker of the other service, of 8000.
+		millCores int64
+	}{
+		"other service empty": {},
+		"other service full": {
+			millCores: 8000,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0", "w1")
+			listings := map[string]Listing{}
+			for id, w := range board.workers {
+				listings[id] = w.Listing
+			}
+			mill := listings["w1"]
+			mill.Service = "mill"
+			listings["w1"] = mill
+			board.SetWorkers(listings, true, testStart)
+			serving := tasks(1, 3000)
+			serving.LongRunning, serving.Image, serving.TailTarget = true, "shop", 100*time.Millisecond
+			board.AddJob(testJob("shop", "plans", serving), nil, false, testStart, testStart)
+			accept(board, decideAndSave(board, testStart), testStart)
+			if tt.millCores > 0 {
+				grind := testJob("grind", "none", tasks(1, tt.millCores))
+				grind.Service = "mill"
+				board.AddJob(grind, nil, false, testStart, testStart)
+				accept(board, decideAndSave(board, testStart), testStart)
+			}
+			setCoefficient(board, "shop", "print", maxCoefficient)
+			filler := tasks(1, 1000)
+			filler.Filler, filler.Image = true, "print"
+			board.AddJob(testJob("fill", "plans", filler), nil, false, testStart, testStart)
+			assert.Empty(t, board.Decide(testStart, true).Starts)
+			now := testStart.Add(2 * starvationTimeout)
+			poll(board, "w0", now)
+			poll(board, "w1", now)
+			assert.Len(t, board.Decide(now, true).Starts, 1)
+		})
+	}
+}
