Leave no trace of a gang that did not fit

What callers see: a gang of fillers has nothing running beside free capacity for good; a waiting gang of long-running tasks is not preferred as overdue.

Cause: members are claimed one by one, and released if one does not fit. Each release counted as the end of a run: the job was idle since then, the tasks down since then. A job that was never idle for a second never starves, so that its fillers are not placed beside what they would disturb. Nor did a job starve while its first members were claimed.

Change: a failed attempt leaves tasks and job as they were, and whether the job starves is found before the first claim.

Evidence: TestGangOfFillersStarves and TestFailedPlacementOfGangLeavesNoTrace, which failed before.

--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -76,6 +76,9 @@
 // starving reports whether a job has had nothing running for too long.
 func (b *Board) starving(id string) bool {
 	j := b.open[id]
+	if j != nil && j.gangStarves {
+		return true
+	}
 	return j != nil && j.claims == 0 && b.now.Sub(j.idleSince) > starvationTimeout && b.lowUtilization[b.serviceOf(j)]
 }
 
@@ -172,8 +175,10 @@
 	if b.preference(j, step, pool, now).groupWaits() {
 		return
 	}
-	run, everClaimed := b.nextRun(), j.everClaimed
+	run, everClaimed, idleSince := b.nextRun(), j.everClaimed, j.idleSince
 	chosen := make([]*workerState, 0, len(step.tasks))
+	j.gangStarves = b.starving(j.work.ID)
+	defer func() { j.gangStarves = false }()
 	for _, t := range step.tasks {
 		w := b.chooseWorker(step, t, pool)
 		if w == nil {
@@ -183,10 +188,14 @@
 		chosen = append(chosen, w)
 	}
 	if len(chosen) < len(step.tasks) {
+		// Nothing was sent: the tasks and the job stay as they were.
 		for i, w := range chosen {
-			b.release(w, step.tasks[i].key, now)
+			t := step.tasks[i]
+			endedAt, confirmAfter := t.endedAt, t.confirmAfter
+			b.release(w, t.key, now)
+			t.endedAt, t.confirmAfter = endedAt, confirmAfter
 		}
-		j.everClaimed = everClaimed // nothing was sent
+		j.everClaimed, j.idleSince = everClaimed, idleSince
 		return
 	}
 	b.startsLeft -= len(step.tasks)
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -123,6 +123,9 @@
 	// zero.
 	claims    int
 	idleSince time.Time
+	// gangStarves is set while a gang of the job is placed that had starved before:
+	// the claims of its first members do not end that.
+	gangStarves bool
 
 	// rank is the job's place in the order of waiting jobs and remaining its
 	// critical path. stale is set when a step has progressed since they were
