Use excluded workers for idle jobs where most are excluded

What callers see: accepted jobs of a service have nothing running for up to 4 s although its workers are empty; some move sooner.

Cause: two failures in a row exclude a worker for 2 s, the next ones for 4 s, until a run there is done. Tasks that fail by their own fault exclude all workers of a small service at about the same time, and each time again. Users count a job as lost that has nothing running for 3 s beside free capacity.

Change: while most usable workers of a service are excluded, a job that has had nothing running for 2 s uses them too. Where the workers are at fault, a job so makes no more than one attempt in 2 s.

Ruled out: never excluding workers, which lets one faulty worker fail one job after another.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -82,6 +82,9 @@
 	// lowUtilization is set for the services of which the allocated share of the
 	// workers' cores was below lowUtilizationBound at the last decision.
 	lowUtilization map[string]bool
+	// mostExcluded is set for the services of which most usable workers were excluded
+	// after failures at the last decision.
+	mostExcluded map[string]bool
 	// cancelled holds jobs whose cancellation arrived before their record.
 	cancelled map[string]bool
 	// evacuated holds the withdrawn zones, which get no new tasks.
@@ -128,6 +131,7 @@
 		open:           map[string]*job{},
 		workers:        map[string]*workerState{},
 		lowUtilization: map[string]bool{},
+		mostExcluded:   map[string]bool{},
 		cancelled:      map[string]bool{},
 		evacuated:      map[string]bool{},
 		reservations:   map[work.TaskKey]reservation{},
--- a/internal/process/schedule/health.go
+++ b/internal/process/schedule/health.go
@@ -24,6 +24,35 @@
 	longestPause      = 4 * time.Second
 )
 
+// usesExcludedAfter is how long a job may have nothing running before it uses
+// excluded workers, if most are. Load pattern: tasks that fail by their own fault
+// exclude all workers of a small service, again and again. Users count a job as lost
+// that has nothing running for 3 s beside free capacity. Each job so makes no more
+// than one attempt in this time where the workers are at fault.
+const usesExcludedAfter = 2 * time.Second
+
+// measureTrust finds the services of which most workers are excluded.
+func (b *Board) measureTrust(now time.Time) {
+	usable, trusted := map[string]int{}, map[string]int{}
+	for _, w := range b.workers {
+		if b.usable(w, now) {
+			usable[w.Service]++
+			if w.health.trusted(now) {
+				trusted[w.Service]++
+			}
+		}
+	}
+	clear(b.mostExcluded)
+	for service, count := range usable {
+		b.mostExcluded[service] = 2*trusted[service] < count
+	}
+}
+
+// needsExcluded reports whether a quick job uses excluded workers too.
+func (b *Board) needsExcluded(j *job, service string, now time.Time) bool {
+	return j.claims == 0 && b.mostExcluded[service] && now.Sub(j.idleSince) > usesExcludedAfter
+}
+
 func (h *health) suspect() bool {
 	return h.failures >= suspectFailures
 }
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -127,6 +127,8 @@
 	// the claims of its first members do not end that.
 	gangStarves bool
 
+	// pool is the key of the workers for the job in the newest decision.
+	pool poolKey
 	// rank is the job's place in the order of waiting jobs and remaining its
 	// critical path. stale is set when a step has progressed since they were
 	// computed.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -12,6 +12,7 @@
 // place goes through the waiting jobs by rank and starts the tasks that fit.
 func (b *Board) place(now time.Time) {
 	b.placement.begin(now)
+	b.measureTrust(now)
 	candidates := b.ranked(func(j *job) bool {
 		return j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated)
 	}, now)
@@ -21,10 +22,8 @@
 		if b.startsLeft <= 0 {
 			break
 		}
-		key := poolKey{
-			service:     j.rank.Service,
-			longRunning: j.rank.LongRunning,
-		}
+		key := b.poolOf(j, now)
+		j.pool = key
 		if _, ok := pools[key]; !ok {
 			pools[key] = b.pool(key, now)
 		}
@@ -46,6 +45,18 @@
 type poolKey struct {
 	service     string
 	longRunning bool
+	// excluded is set if workers that are excluded after failures are used too.
+	excluded bool
+}
+
+// poolOf returns the key of the workers for a job.
+func (b *Board) poolOf(j *job, now time.Time) poolKey {
+	service := b.serviceOf(j)
+	return poolKey{
+		service:     service,
+		longRunning: j.work.LongRunning(),
+		excluded:    j.work.LongRunning() || b.needsExcluded(j, service, now),
+	}
 }
 
 // pool returns the workers that may be given tasks now, by id. Long-running
@@ -54,7 +65,7 @@
 func (b *Board) pool(key poolKey, now time.Time) []*workerState {
 	var out []*workerState
 	for _, w := range b.workers {
-		if w.Service == key.service && b.usable(w, now) && (key.longRunning || w.health.trusted(now)) {
+		if w.Service == key.service && b.usable(w, now) && (key.excluded || w.health.trusted(now)) {
 			out = append(out, w)
 		}
 	}
--- a/internal/process/schedule/preference.go
+++ b/internal/process/schedule/preference.go
@@ -42,11 +42,8 @@
 		job:   j,
 		occ:   j.occurrences[step.tasks[0].key.Occurrence],
 		step:  step,
-		pool: poolKey{
-			service:     b.serviceOf(j),
-			longRunning: j.work.LongRunning(),
-		},
-		now: now,
+		pool:  j.pool,
+		now:   now,
 	}
 	p.racks = b.placement.racksOf(p.pool, pool)
 	if !j.work.LongRunning() {
