Report claims that differ from what workers run

A claim that nothing ends makes a worker look full that has room, and nothing said so. Each report is now compared with the claims on its worker.

Starts and stops under way are no difference: each run has its own time since when it differs. A worker without an answer is not compared, as its claims end with its lease.

--- a/internal/process/schedule/async_checks_test.go
+++ b/internal/process/schedule/async_checks_test.go
@@ -214,7 +214,8 @@
 // requireSameAsRunning checks that what the board has claimed on a worker has not
 // differed from what runs there for longer than a start and a stop take.
 func (sim *asyncSimulation) requireSameAsRunning() {
-	const longest = 2*asyncCallTimeout + 2*testStopGrace
+	const longest = 2 * (asyncCallTimeout + testStopGrace)
+	require.Empty(sim.t, sim.board.Differences(longest))
 	for id, w := range sim.board.workers {
 		if sim.sameAsRunning(id, w) {
 			delete(sim.differsSince, id)
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -79,11 +79,10 @@
 	// open holds the jobs that are not in a final state.
 	open    map[string]*job
 	workers map[string]*workerState
-	// lowUtilization is set for the services of which the allocated share of the
-	// workers' cores was below lowUtilizationBound at the last decision.
-	lowUtilization map[string]bool
-	// mostExcluded is set for the services of which most usable workers were excluded
-	// after failures at the last decision.
+	// utilization is by service, as of the last decision.
+	utilization map[string]*utilization
+	// mostExcluded tells for services whether most of their usable workers are
+	// excluded after failures. It is found when needed in a decision.
 	mostExcluded map[string]bool
 	// cancelled holds jobs whose cancellation arrived before their record.
 	cancelled map[string]bool
@@ -130,7 +129,7 @@
 		jobs:           map[string]*job{},
 		open:           map[string]*job{},
 		workers:        map[string]*workerState{},
-		lowUtilization: map[string]bool{},
+		utilization:    map[string]*utilization{},
 		mostExcluded:   map[string]bool{},
 		cancelled:      map[string]bool{},
 		evacuated:      map[string]bool{},
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -79,7 +79,11 @@
 	if j != nil && j.gangStarves {
 		return true
 	}
-	return j != nil && j.claims == 0 && b.now.Sub(j.idleSince) > starvationTimeout && b.lowUtilization[b.serviceOf(j)]
+	if j == nil || j.claims > 0 || b.now.Sub(j.idleSince) <= starvationTimeout {
+		return false
+	}
+	use := b.utilization[b.serviceOf(j)]
+	return use != nil && use.low
 }
 
 // Weights of a worker's score. Each is well above the next, so that they decide
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -41,6 +41,9 @@
 	barred time.Time
 	// piece is set if capacity was reserved for the run's task.
 	piece bool
+	// unlistedSince is when a report first lacked the run that could have listed it,
+	// zero while the newest one lists it.
+	unlistedSince time.Time
 	// orphaned runs belong to no task any more and are being stopped.
 	orphaned bool
 	// retries counts the starts that got no answer.
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -53,19 +53,34 @@
 		cmp.Compare(a.Step, c.Step), cmp.Compare(a.Index, c.Index))
 }
 
-// measureUtilization finds the services of which little is claimed of the cores of
-// reachable workers.
+// utilization is what is claimed of the cores of a service's reachable workers.
+type utilization struct {
+	claimed, capacity int64
+	low               bool
+}
+
+// measureUtilization measures the utilization of each service.
 func (b *Board) measureUtilization() {
-	claimed, capacity := map[string]int64{}, map[string]int64{}
+	for _, use := range b.utilization {
+		*use = utilization{}
+	}
+	last, use := "", (*utilization)(nil)
 	for _, w := range b.workers {
-		if w.reachable && w.listed && !w.Draining {
-			claimed[w.Service] += w.used.MilliCores
-			capacity[w.Service] += w.Capacity.MilliCores
+		if !w.reachable || !w.listed || w.Draining {
+			continue
+		}
+		if use == nil || w.Service != last {
+			last, use = w.Service, b.utilization[w.Service]
+			if use == nil {
+				use = &utilization{}
+				b.utilization[w.Service] = use
+			}
 		}
+		use.claimed += w.used.MilliCores
+		use.capacity += w.Capacity.MilliCores
 	}
-	clear(b.lowUtilization)
-	for service, whole := range capacity {
-		b.lowUtilization[service] = ratio(claimed[service], whole) < lowUtilizationBound
+	for _, use := range b.utilization {
+		use.low = ratio(use.claimed, use.capacity) < lowUtilizationBound
 	}
 }
 
--- a/internal/process/schedule/health.go
+++ b/internal/process/schedule/health.go
@@ -31,26 +31,31 @@
 // than one attempt in this time where the workers are at fault.
 const usesExcludedAfter = 2 * time.Second
 
-// measureTrust finds the services of which most workers are excluded.
-func (b *Board) measureTrust(now time.Time) {
-	usable, trusted := map[string]int{}, map[string]int{}
+// needsExcluded reports whether a quick job uses excluded workers too.
+func (b *Board) needsExcluded(j *job, service string, now time.Time) bool {
+	if j.claims > 0 || now.Sub(j.idleSince) <= usesExcludedAfter {
+		return false
+	}
+	most, known := b.mostExcluded[service]
+	if !known {
+		most = b.excludesMost(service, now)
+		b.mostExcluded[service] = most
+	}
+	return most
+}
+
+// excludesMost reports whether most usable workers of a service are excluded.
+func (b *Board) excludesMost(service string, now time.Time) bool {
+	usable, trusted := 0, 0
 	for _, w := range b.workers {
-		if b.usable(w, now) {
-			usable[w.Service]++
+		if w.Service == service && b.usable(w, now) {
+			usable++
 			if w.health.trusted(now) {
-				trusted[w.Service]++
+				trusted++
 			}
 		}
 	}
-	clear(b.mostExcluded)
-	for service, count := range usable {
-		b.mostExcluded[service] = 2*trusted[service] < count
-	}
-}
-
-// needsExcluded reports whether a quick job uses excluded workers too.
-func (b *Board) needsExcluded(j *job, service string, now time.Time) bool {
-	return j.claims == 0 && b.mostExcluded[service] && now.Sub(j.idleSince) > usesExcludedAfter
+	return 2*trusted < usable
 }
 
 func (h *health) suspect() bool {
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -98,6 +98,8 @@
 }
 
 func (b *Board) applyRunning(w *workerState, inventory Inventory, now time.Time) {
+	unclaimed := w.unclaimed
+	w.unclaimed, w.difference, w.reportedCores = nil, Difference{}, 0
 	listed := make(map[work.TaskKey]int64, len(inventory.Running))
 	for _, row := range inventory.Running {
 		listed[row.Key] = row.Run
@@ -105,23 +107,27 @@
 		if held == nil || held.run != row.Run {
 			held = b.adopt(w, row, now)
 		}
-		if held != nil {
-			b.observe(held, row, inventory.Sent, now)
-			b.clearSuspect(w, row.Key, held)
+		if held == nil {
+			b.noteListed(w, row, unclaimed, now)
+			continue
 		}
-	}
-	if inventory.EndsOmitted {
-		return // a run that is not listed may have ended
+		w.noteClaimed(held)
+		b.observe(held, row, inventory.Sent, now)
+		b.clearSuspect(w, row.Key, held)
 	}
 	for key, held := range w.claims {
 		if run, ok := listed[key]; ok && run == held.run {
 			continue
 		}
 		// The run is not listed. That is final only if the worker had confirmed
-		// or barred it before this call was sent.
-		if !held.barred.IsZero() && inventory.Sent.After(held.barred.Add(b.config.StopGrace)) ||
-			held.confirmed && inventory.Sent.After(held.started) {
+		// or barred it before this call was sent, and no end may be missing from the
+		// report.
+		ended := !held.barred.IsZero() && inventory.Sent.After(held.barred.Add(b.config.StopGrace)) ||
+			held.confirmed && inventory.Sent.After(held.started)
+		if ended && !inventory.EndsOmitted {
 			b.release(w, key, now)
+		} else {
+			w.noteUnlisted(key, held, inventory.Sent, now)
 		}
 	}
 }
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -93,6 +93,12 @@
 	// lastRaise is when the throttle level of a filler was last raised,
 	// lastControl when all levels were last computed.
 	lastRaise, lastControl time.Time
+	// unclaimed holds the runs of the newest report that have no claim, by since when.
+	// difference is what has differed for longest in it, and reportedCores the
+	// millicores that it lists.
+	unclaimed     map[unclaimedRun]time.Time
+	difference    Difference
+	reportedCores int64
 	// headrooms is computed when needed, nil after a change of the runs.
 	headrooms []remainingHeadroom
 }
@@ -210,6 +216,7 @@
 	w.lastProcessed, w.lastSeen, w.ends = 0, 0, nil
 	w.health = health{}
 	w.blockedUntil = time.Time{}
+	w.unclaimed, w.difference = nil, Difference{}
 	b.countCrash(w.ID, suspects, now)
 }
 
