Use excluded workers where utilization is low, not where most are excluded

What callers see: a job that asks for a label has nothing running for up to 4 s although the only worker with that label is empty.

Tasks that fail by their own fault exclude the only worker with a label while most others are trusted.

Change: a job with nothing running for 2 s uses excluded workers while the utilization of its service is low, as fillers that starve do. In a full service it does not, so that a faulty worker is not given one job after another.

Evidence: the case of the label in TestJobStartsWhereAllWorkersAreExcluded, which failed before.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -81,9 +81,6 @@
 	workers map[string]*workerState
 	// utilization is by service, as of the last decision.
 	utilization map[string]*utilization
-	// mostExcluded tells for services whether most of their usable workers are
-	// excluded after failures. It is found when needed in a decision.
-	mostExcluded map[string]bool
 	// cancelled holds jobs whose cancellation arrived before their record.
 	cancelled map[string]bool
 	// evacuated holds the withdrawn zones, which get no new tasks.
@@ -130,7 +127,6 @@
 		open:           map[string]*job{},
 		workers:        map[string]*workerState{},
 		utilization:    map[string]*utilization{},
-		mostExcluded:   map[string]bool{},
 		cancelled:      map[string]bool{},
 		evacuated:      map[string]bool{},
 		reservations:   map[work.TaskKey]reservation{},
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -82,8 +82,7 @@
 	if j == nil || j.claims > 0 || b.now.Sub(j.idleSince) <= starvationTimeout {
 		return false
 	}
-	use := b.utilization[b.serviceOf(j)]
-	return use != nil && use.low
+	return b.hasLowUtilization(b.serviceOf(j))
 }
 
 // Weights of a worker's score. Each is well above the next, so that they decide
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// hasLowUtilization reports whether much of a service's capacity is free: then users
+// expect its work to progress.
+func (b *Board) hasLowUtilization(service string) bool {
+	use := b.utilization[service]
+	return use != nil && use.low
+}
+
 // retryStarts repeats starts that got no answer. A claim may have ended since
 // because the worker restarted: then the task may already run elsewhere.
 func (b *Board) retryStarts() {
--- a/internal/process/schedule/health.go
+++ b/internal/process/schedule/health.go
@@ -25,37 +25,20 @@
 )
 
 // usesExcludedAfter is how long a job may have nothing running before it uses
-// excluded workers, if most are. Load pattern: tasks that fail by their own fault
-// exclude all workers of a small service, again and again. Users count a job as lost
-// that has nothing running for 3 s beside free capacity. Each job so makes no more
-// than one attempt in this time where the workers are at fault.
+// excluded workers, while the utilization of its service is low. Load pattern: tasks
+// that fail by their own fault exclude all workers of a small service, or the only one
+// with a label, again and again. Users count a job as lost that has nothing running
+// for 3 s beside free capacity. Where the workers are at fault, a job so makes no more
+// than one attempt in this time.
 const usesExcludedAfter = 2 * time.Second
 
-// needsExcluded reports whether a quick job uses excluded workers too.
+// needsExcluded reports whether a quick job uses excluded workers too, as its last
+// choice.
 func (b *Board) needsExcluded(j *job, service string, now time.Time) bool {
 	if j.claims > 0 || now.Sub(j.idleSince) <= usesExcludedAfter {
 		return false
 	}
-	most, known := b.mostExcluded[service]
-	if !known {
-		most = b.excludesMost(service, now)
-		b.mostExcluded[service] = most
-	}
-	return most
-}
-
-// excludesMost reports whether most usable workers of a service are excluded.
-func (b *Board) excludesMost(service string, now time.Time) bool {
-	usable, trusted := 0, 0
-	for _, w := range b.workers {
-		if w.Service == service && b.usable(w, now) {
-			usable++
-			if w.health.trusted(now) {
-				trusted++
-			}
-		}
-	}
-	return 2*trusted < usable
+	return b.hasLowUtilization(service)
 }
 
 func (h *health) suspect() bool {
--- a/internal/process/schedule/health_test.go
+++ b/internal/process/schedule/health_test.go
@@ -24,6 +24,8 @@
 	const lostAfter = 3 * time.Second
 	tests := map[string]struct {
 		excluded []string
+		// label is what the job asks for; w0 has it.
+		label string
 		// starts is set if the job starts within lostAfter.
 		starts bool
 	}{
@@ -35,6 +37,11 @@
 			excluded: []string{"w0", "w1"},
 			starts:   true,
 		},
+		"the only one with the label": {
+			excluded: []string{"w0"},
+			label:    "press",
+			starts:   true,
+		},
 		"one, and the others are full": {
 			excluded: []string{"w0"},
 		},
@@ -42,15 +49,18 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			board := testBoard("w0", "w1", "w2")
+			board.workers["w0"].Labels = []string{"press"}
 			long := testJob("long", "plans", tasks(3-len(tt.excluded), 8000))
-			if len(tt.excluded) < 3 {
+			if len(tt.excluded) < 3 && tt.label == "" {
 				excludeAll(board, testStart, tt.excluded...)
 				board.AddJob(long, nil, false, testStart, testStart)
 				accept(board, board.Decide(testStart, true), testStart)
 			}
 			now := testStart
 			excludeAll(board, now, tt.excluded...)
-			board.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, false, now, now)
+			step := tasks(1, 1000)
+			step.Label = tt.label
+			board.AddJob(testJob("a", "plans", step), nil, false, now, now)
 			require.Empty(t, board.Decide(now, true).Starts, "trusted workers are tried first")
 			started := 0
 			for range (lostAfter - scanInterval) / scanInterval {
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -12,7 +12,6 @@
 // place goes through the waiting jobs by rank and starts the tasks that fit.
 func (b *Board) place(now time.Time) {
 	b.placement.begin(now)
-	clear(b.mostExcluded)
 	candidates := b.ranked(func(j *job) bool {
 		return j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated)
 	}, now)
