--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -79,9 +79,8 @@
 	// open holds the jobs that are not in a final state.
 	open    map[string]*job
 	workers map[string]*workerState
-	// lowUtilization is set if the allocated share of the workers' cores was
-	// below lowUtilizationBound at the last decision.
-	lowUtilization bool
+	// utilization is by service, as of the last decision.
+	utilization map[string]*utilization
 	// cancelled holds jobs whose cancellation arrived before their record.
 	cancelled map[string]bool
 	// evacuated holds the withdrawn zones, which get no new tasks.
@@ -127,6 +126,7 @@
 		jobs:           map[string]*job{},
 		open:           map[string]*job{},
 		workers:        map[string]*workerState{},
+		utilization:    map[string]*utilization{},
 		cancelled:      map[string]bool{},
 		evacuated:      map[string]bool{},
 		reservations:   map[work.TaskKey]reservation{},
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -67,8 +67,8 @@
 	// to protect the tail latency of others, while utilization is low. Then one
 	// filler is placed where it interferes least, to be throttled there.
 	starvationTimeout = time.Second
-	// lowUtilizationBound is the allocated share of the cores below which
-	// utilization is low: users expect work to progress while much capacity is
+	// lowUtilizationBound is the allocated share of a service's cores below which
+	// its utilization is low: users expect work to progress while much capacity is
 	// free.
 	lowUtilizationBound = 0.65
 )
@@ -76,7 +76,13 @@
 // starving reports whether a job has had nothing running for too long.
 func (b *Board) starving(id string) bool {
 	j := b.open[id]
-	return j != nil && b.lowUtilization && j.claims == 0 && b.now.Sub(j.idleSince) > starvationTimeout
+	if j != nil && j.gangStarves {
+		return true
+	}
+	if j == nil || j.claims > 0 || b.now.Sub(j.idleSince) <= starvationTimeout {
+		return false
+	}
+	return b.hasLowUtilization(b.serviceOf(j))
 }
 
 // Weights of a worker's score. Each is well above the next, so that they decide
@@ -172,8 +178,10 @@
 	if b.preference(j, step, pool, now).groupWaits() {
 		return
 	}
-	run, everClaimed := b.nextRun(), j.everClaimed
+	run, everClaimed, idleSince := b.nextRun(), j.everClaimed, j.idleSince
 	chosen := make([]*workerState, 0, len(step.tasks))
+	j.gangStarves = b.starving(j.work.ID)
+	defer func() { j.gangStarves = false }()
 	for _, t := range step.tasks {
 		w := b.chooseWorker(step, t, pool)
 		if w == nil {
@@ -183,10 +191,14 @@
 		chosen = append(chosen, w)
 	}
 	if len(chosen) < len(step.tasks) {
+		// Nothing was sent: the tasks and the job stay as they were.
 		for i, w := range chosen {
-			b.release(w, step.tasks[i].key, now)
+			t := step.tasks[i]
+			endedAt, confirmAfter := t.endedAt, t.confirmAfter
+			b.release(w, t.key, now)
+			t.endedAt, t.confirmAfter = endedAt, confirmAfter
 		}
-		j.everClaimed = everClaimed // nothing was sent
+		j.everClaimed, j.idleSince = everClaimed, idleSince
 		return
 	}
 	b.startsLeft -= len(step.tasks)
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -17,7 +17,7 @@
 		b.retryStarts()
 		b.sendRecordedStarts(now)
 	}
-	b.lowUtilization = b.allocatedShare() < lowUtilizationBound
+	b.measureUtilization()
 	b.drain(now)
 	if now.Sub(b.lastScan) >= scanInterval {
 		b.lastScan = now
@@ -53,16 +53,42 @@
 		cmp.Compare(a.Step, c.Step), cmp.Compare(a.Index, c.Index))
 }
 
-// allocatedShare is the claimed share of the cores of reachable workers.
-func (b *Board) allocatedShare() float64 {
-	allocated, capacity := int64(0), int64(0)
+// utilization is what is claimed of the cores of a service's reachable workers.
+type utilization struct {
+	claimed, capacity int64
+	low               bool
+}
+
+// measureUtilization measures the utilization of each service.
+func (b *Board) measureUtilization() {
+	for _, use := range b.utilization {
+		*use = utilization{}
+	}
+	last, use := "", (*utilization)(nil)
 	for _, w := range b.workers {
-		if w.reachable && w.listed && !w.Draining {
-			allocated += w.used.MilliCores
-			capacity += w.Capacity.MilliCores
+		if !w.reachable || !w.listed || w.Draining {
+			continue
 		}
+		if use == nil || w.Service != last {
+			last, use = w.Service, b.utilization[w.Service]
+			if use == nil {
+				use = &utilization{}
+				b.utilization[w.Service] = use
+			}
+		}
+		use.claimed += w.used.MilliCores
+		use.capacity += w.Capacity.MilliCores
+	}
+	for _, use := range b.utilization {
+		use.low = ratio(use.claimed, use.capacity) < lowUtilizationBound
 	}
-	return ratio(allocated, capacity)
+}
+
+// hasLowUtilization reports whether much of a service's capacity is free: then users
+// expect its work to progress.
+func (b *Board) hasLowUtilization(service string) bool {
+	use := b.utilization[service]
+	return use != nil && use.low
 }
 
 // retryStarts repeats starts that got no answer. A claim may have ended since
--- a/internal/process/schedule/health.go
+++ b/internal/process/schedule/health.go
@@ -24,6 +24,23 @@
 	longestPause      = 4 * time.Second
 )
 
+// usesExcludedAfter is how long a job may have nothing running before it uses
+// excluded workers, while the utilization of its service is low. Load pattern: tasks
+// that fail by their own fault exclude all workers of a small service, or the only one
+// with a label, again and again. Users count a job as lost that has nothing running
+// for 3 s beside free capacity. Where the workers are at fault, a job so makes no more
+// than one attempt in this time.
+const usesExcludedAfter = 2 * time.Second
+
+// needsExcluded reports whether a quick job uses excluded workers too, as its last
+// choice.
+func (b *Board) needsExcluded(j *job, service string, now time.Time) bool {
+	if j.claims > 0 || now.Sub(j.idleSince) <= usesExcludedAfter {
+		return false
+	}
+	return b.hasLowUtilization(service)
+}
+
 func (h *health) suspect() bool {
 	return h.failures >= suspectFailures
 }
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -51,15 +51,17 @@
 	if w == nil {
 		return nil
 	}
+	if inventory.Born.Before(w.incarnation) && inventory.Sent.Before(w.lastReport) {
+		return nil // a delayed answer of an earlier incarnation
+	}
 	b.resolveReport(id, inventory.Born, now)
 	switch {
 	case w.incarnation.IsZero():
 		w.incarnation, w.firstReport = inventory.Born, now
 		b.awaitConfirmation(w, w.knownSince(inventory.Born, now))
-	case inventory.Born.After(w.incarnation):
+	case !inventory.Born.Equal(w.incarnation):
+		// Born is earlier than before if the machine's wall clock was set back.
 		b.handleRestart(w, inventory.Born, now)
-	case inventory.Born.Before(w.incarnation):
-		return nil // a delayed answer of an earlier incarnation
 	}
 	if w.reportedToken != b.token {
 		// From here on no other leader can extend the leases there.
@@ -96,6 +98,8 @@
 }
 
 func (b *Board) applyRunning(w *workerState, inventory Inventory, now time.Time) {
+	unclaimed := w.unclaimed
+	w.unclaimed, w.difference, w.reportedCores = nil, Difference{}, 0
 	listed := make(map[work.TaskKey]int64, len(inventory.Running))
 	for _, row := range inventory.Running {
 		listed[row.Key] = row.Run
@@ -103,23 +107,27 @@
 		if held == nil || held.run != row.Run {
 			held = b.adopt(w, row, now)
 		}
-		if held != nil {
-			b.observe(held, row, inventory.Sent, now)
-			b.clearSuspect(w, row.Key, held)
+		if held == nil {
+			b.noteListed(w, row, unclaimed, now)
+			continue
 		}
-	}
-	if inventory.EndsOmitted {
-		return // a run that is not listed may have ended
+		w.noteClaimed(held)
+		b.observe(held, row, inventory.Sent, now)
+		b.clearSuspect(w, row.Key, held)
 	}
 	for key, held := range w.claims {
 		if run, ok := listed[key]; ok && run == held.run {
 			continue
 		}
 		// The run is not listed. That is final only if the worker had confirmed
-		// or barred it before this call was sent.
-		if !held.barred.IsZero() && inventory.Sent.After(held.barred.Add(b.config.StopGrace)) ||
-			held.confirmed && inventory.Sent.After(held.started) {
+		// or barred it before this call was sent, and no end may be missing from the
+		// report.
+		ended := !held.barred.IsZero() && inventory.Sent.After(held.barred.Add(b.config.StopGrace)) ||
+			held.confirmed && inventory.Sent.After(held.started)
+		if ended && !inventory.EndsOmitted {
 			b.release(w, key, now)
+		} else {
+			w.noteUnlisted(key, held, inventory.Sent, now)
 		}
 	}
 }
@@ -142,6 +150,7 @@
 		held := newClaim(j, step.spec, row.Run, now)
 		held.confirmed, held.orphaned = true, true
 		w.addClaim(row.Key, held)
+		t.orphanedOn = append(t.orphanedOn, w.ID)
 		b.stop(w.ID, row.Key, row.Run, "not_wanted")
 		return nil
 	}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -61,6 +61,9 @@
 	// never started.
 	located     bool
 	lastWorkers []string
+	// orphanedOn lists workers with orphaned runs of the task, which may have ended.
+	// While one has not, the task does not start: a worker has one claim of a task.
+	orphanedOn []string
 }
 
 // stepState is one step of one occurrence.
@@ -120,7 +123,12 @@
 	// zero.
 	claims    int
 	idleSince time.Time
+	// gangStarves is set while a gang of the job is placed that had starved before:
+	// the claims of its first members do not end that.
+	gangStarves bool
 
+	// pool is the key of the workers for the job in the newest decision.
+	pool poolKey
 	// rank is the job's place in the order of waiting jobs and remaining its
 	// critical path. stale is set when a step has progressed since they were
 	// computed.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -15,29 +15,27 @@
 	candidates := b.ranked(func(j *job) bool {
 		return j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated)
 	}, now)
-	shortages := map[string]*shortage{}
+	shortages := map[poolKey]*shortage{}
 	pools := map[poolKey][]*workerState{}
 	for _, j := range candidates {
 		if b.startsLeft <= 0 {
 			break
 		}
-		key := poolKey{
-			service:     j.rank.Service,
-			longRunning: j.rank.LongRunning,
-		}
+		key := b.poolOf(j, now)
+		j.pool = key
 		if _, ok := pools[key]; !ok {
 			pools[key] = b.pool(key, now)
 		}
-		if shortages[key.service] == nil {
-			shortages[key.service] = newShortage()
+		if shortages[key] == nil {
+			shortages[key] = newShortage()
 		}
 		if len(pools[key]) > 0 {
-			b.placeJob(j, pools[key], shortages[key.service], now)
+			b.placeJob(j, pools[key], shortages[key], now)
 		}
 	}
-	for service, found := range shortages {
+	for key, found := range shortages {
 		if found.lacking {
-			b.shortAt[service] = now
+			b.shortAt[key.service] = now
 		}
 	}
 }
@@ -46,6 +44,18 @@
 type poolKey struct {
 	service     string
 	longRunning bool
+	// excluded is set if workers that are excluded after failures are used too.
+	excluded bool
+}
+
+// poolOf returns the key of the workers for a job.
+func (b *Board) poolOf(j *job, now time.Time) poolKey {
+	service := b.serviceOf(j)
+	return poolKey{
+		service:     service,
+		longRunning: j.work.LongRunning(),
+		excluded:    j.work.LongRunning() || b.needsExcluded(j, service, now),
+	}
 }
 
 // pool returns the workers that may be given tasks now, by id. Long-running
@@ -54,7 +64,7 @@
 func (b *Board) pool(key poolKey, now time.Time) []*workerState {
 	var out []*workerState
 	for _, w := range b.workers {
-		if w.Service == key.service && b.usable(w, now) && (key.longRunning || w.health.trusted(now)) {
+		if w.Service == key.service && b.usable(w, now) && (key.excluded || w.health.trusted(now)) {
 			out = append(out, w)
 		}
 	}
@@ -65,7 +75,7 @@
 // usable reports whether a worker may be given tasks. Of one that has started again,
 // the kind and the capacity are known only once its new entry has been read.
 func (b *Board) usable(w *workerState, now time.Time) bool {
-	current := w.Born.IsZero() || !w.Born.Before(w.incarnation)
+	current := w.Born.IsZero() || sameTime(w.Born, w.incarnation)
 	return current && w.listed && !w.Draining && b.mayOrder(w) && w.reportedToken == b.token &&
 		!b.evacuated[w.Zone] && now.After(w.blockedUntil)
 }
@@ -101,7 +111,7 @@
 		return
 	}
 	urgent := b.urgent(j) && !step.spec.Filler
-	b.placeReturning(j, step, now)
+	b.placeReturning(j, step, pool, now)
 	ruledOut := !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID)
 	if ruledOut && !step.spec.LongRunning {
 		return
