Name the reason for which a job waits

The conditions of placing pass over jobs and workers in silence, so that a record does not tell why.

The predicates of placing return their cause now: exclusion and poolExclusion of workers, misfit and ineligible of a task on a worker, jobReason, taskReason and doubt of jobs and tasks.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -88,7 +88,12 @@
 	evacuated map[string]bool
 
 	// startsLeft is how many more starts may be decided now.
-	startsLeft   int
+	startsLeft int
+	// startsAllowed is set if the last decision was allowed to start tasks.
+	startsAllowed bool
+	// shortages are those of the last decision that placed tasks, by service, nil once
+	// capacity has come free since.
+	shortages    map[string]*shortage
 	reservations map[work.TaskKey]reservation
 	// reservationsLeft is how many more reservations this decision may make.
 	reservationsLeft int
@@ -180,7 +185,20 @@
 // again knows no token: it would carry out the start of a leader that was replaced
 // before. So the leadership must be confirmed after its first report.
 func (b *Board) mayOrder(w *workerState) bool {
-	return w.reachable && b.MayRequestLease(w.ID) && !w.confirmAfter.After(b.confirmedAt)
+	return b.orderExclusion(w) == NotExcluded
+}
+
+// orderExclusion returns why a worker may not be sent starts.
+func (b *Board) orderExclusion(w *workerState) Exclusion {
+	switch {
+	case !w.reachable:
+		return Unreachable
+	case !b.MayRequestLease(w.ID):
+		return LeaseWithheld
+	case w.confirmAfter.After(b.confirmedAt):
+		return Unconfirmed
+	}
+	return NotExcluded
 }
 
 // EarlierTermEnded records when the leader before is known to have lost the
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mustardreach.example/mustardreach/internal/process/reserve"
+	"mustardreach.example/mustardreach/internal/request/work"
 )
 
 // chooseWorker picks the worker for a task: near its data first, then the
@@ -14,11 +15,7 @@
 // returns nil if no worker fits.
 func (b *Board) chooseWorker(step *stepState, t *task, pool []*workerState) *workerState {
 	if held, ok := b.reservations[t.key]; ok && !step.spec.LongRunning {
-		w := b.workers[held.worker]
-		if w != nil && slices.Contains(pool, w) && held.size.FitsIn(w.Capacity.Sub(w.used)) && b.eligible(w, step, t) {
-			return w
-		}
-		return nil
+		return b.reservedWorker(held, step, t, pool)
 	}
 	var best *workerState
 	var bestScore float64
@@ -38,28 +35,60 @@
 	return best
 }
 
+// reservedWorker returns the worker on which capacity is kept for the task, or nil
+// if it may not run there now.
+func (b *Board) reservedWorker(held reservation, step *stepState, t *task, pool []*workerState) *workerState {
+	w := b.workers[held.worker]
+	if w != nil && slices.Contains(pool, w) && held.size.FitsIn(w.Capacity.Sub(w.used)) && b.eligible(w, step, t) {
+		return w
+	}
+	return nil
+}
+
 // fits reports whether the task may run on the worker beside what is claimed and
 // reserved there. A long-running task that has been down for long takes reserved
 // capacity too.
 func (b *Board) fits(w *workerState, step *stepState, t *task) bool {
+	return b.misfit(w, step, t) == NotExcluded
+}
+
+// misfit returns why the task may not run on a worker of the pool now.
+func (b *Board) misfit(w *workerState, step *stepState, t *task) Exclusion {
 	free := w.free()
 	if b.longDown(step, t, b.now) {
 		free = w.Capacity.Sub(w.used)
 	}
-	return reservedSize(step.spec).FitsIn(free) && b.eligible(w, step, t)
+	if !reservedSize(step.spec).FitsIn(free) {
+		return InsufficientCapacity
+	}
+	return b.ineligible(w, step, t)
 }
 
 // eligible reports whether the task may run on the worker, apart from the free
 // capacity.
 func (b *Board) eligible(w *workerState, step *stepState, t *task) bool {
+	return b.ineligible(w, step, t) == NotExcluded
+}
+
+// lacksLabel reports whether the worker lacks the label that a step requires.
+func (w *workerState) lacksLabel(spec *work.Step) bool {
+	return spec.Label != "" && !slices.Contains(w.Labels, spec.Label)
+}
+
+// ineligible returns why the task may not run on the worker, whatever is free there.
+func (b *Board) ineligible(w *workerState, step *stepState, t *task) Exclusion {
 	spec := step.spec
-	if spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
-		return false
-	}
-	if spec.Filler && (w.idle < spec.Size.MilliCores || !b.starving(t.key.Job) && b.interferenceCost(w, spec.Image, spec.Size.MilliCores) > maxInterferenceCost) {
-		return false
+	switch {
+	case w.lacksLabel(spec):
+		return LabelMissing
+	case spec.Spread != 0 && w.steps[stepOf(t.key)] >= spec.Spread:
+		return SpreadReached
+	case spec.Filler && w.idle < spec.Size.MilliCores:
+		return InsufficientCapacity
+	case spec.Filler && !b.starving(t.key.Job) && b.interferenceCost(w, spec.Image, spec.Size.MilliCores) > maxInterferenceCost:
+		return Interfering
 	}
-	return spec.Spread == 0 || w.steps[stepOf(t.key)] < spec.Spread
+	return NotExcluded
 }
 
 const (
@@ -164,9 +193,10 @@
 	}
 	if step.waiting != len(step.tasks) {
 		b.breakGang(step)
+		step.unplacedSince = time.Time{}
 		return
 	}
-	if now.Before(step.tasks[0].notBefore) || j.account.MayStart(step.spec.Size) < len(step.tasks) {
+	if now.Before(step.tasks[0].notBefore) || !j.admits(step) {
 		return
 	}
 	if b.preference(j, step, pool, now).groupWaits() {
@@ -187,8 +217,12 @@
 			b.release(w, step.tasks[i].key, now)
 		}
 		j.everClaimed = everClaimed // nothing was sent
+		if step.unplacedSince.IsZero() {
+			step.unplacedSince = now
+		}
 		return
 	}
+	step.unplacedSince = time.Time{}
 	b.startsLeft -= len(step.tasks)
 	j.account.Started(now)
 	checkpoint := gangCheckpoint(step)
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -203,6 +203,7 @@
 		return
 	}
 	w.removeClaim(key, held)
+	b.shortages = nil
 	j := b.jobs[key.Job]
 	if j == nil {
 		return
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -12,6 +12,7 @@
 // allowed is false while leadership is in doubt: then nothing is started.
 func (b *Board) Decide(now time.Time, allowed bool) Effects {
 	b.now = now
+	b.startsAllowed = allowed
 	b.Expire(now)
 	if allowed && !b.fenced {
 		b.retryStarts()
--- a/internal/process/schedule/groups.go
+++ b/internal/process/schedule/groups.go
@@ -41,7 +41,7 @@
 		}
 		return
 	}
-	if p.factor <= 1 || p.room(pool) < step.waiting {
+	if p.factor <= 1 || b.room(step, pool) < step.waiting {
 		return // nowhere to start now: nothing is declined
 	}
 	p.holdsBack = p.groupHoldsBack(racks)
@@ -92,7 +92,7 @@
 func (p *preference) fittingRack(racks []string) string {
 	best, bestRoom := "", math.MaxInt
 	for _, rack := range racks {
-		room := p.room(p.suitable(rack))
+		room := p.board.room(p.step, p.suitable(rack))
 		if room < p.step.waiting {
 			continue
 		}
@@ -117,12 +117,12 @@
 	return out
 }
 
-// room counts the tasks of the step that fit on the workers now.
-func (p *preference) room(workers []*workerState) int {
+// room counts the waiting tasks of the step that fit on the workers now.
+func (b *Board) room(step *stepState, workers []*workerState) int {
 	total := 0
 	for _, w := range workers {
-		spec := p.step.spec
-		if !p.board.eligible(w, p.step, p.step.tasks[0]) {
+		spec := step.spec
+		if !b.eligible(w, step, step.tasks[0]) {
 			continue
 		}
 		count := fitting(reservedSize(spec), w.free())
@@ -134,9 +134,9 @@
 			}))
 		}
 		if spec.Spread > 0 {
-			count = min(count, spec.Spread-w.steps[stepOf(p.step.tasks[0].key)])
+			count = min(count, spec.Spread-w.steps[stepOf(step.tasks[0].key)])
 		}
-		total += min(count, p.step.waiting)
+		total += min(count, step.waiting)
 	}
 	return total
 }
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -78,6 +78,9 @@
 	// kept together, and wait is set while such a step waits for a rack.
 	home string
 	wait *wait
+	// unplacedSince is since when a gang has not fitted, zero if it was not tried. Each
+	// trial sets endedAt of its tasks.
+	unplacedSince time.Time
 }
 
 // occurrence is one scheduled execution of a job's steps.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -13,7 +13,7 @@
 func (b *Board) place(now time.Time) {
 	b.placement.begin(now)
 	candidates := b.ranked(func(j *job) bool {
-		return j.left > j.claims && !j.departing && !b.held(j) && (j.inherited == 0 || j.hasLocated)
+		return j.left > j.claims && b.jobReason(j) == NoReason
 	}, now)
 	shortages := map[string]*shortage{}
 	pools := map[poolKey][]*workerState{}
@@ -40,6 +40,7 @@
 			b.shortAt[service] = now
 		}
 	}
+	b.shortages = shortages
 }
 
 // poolKey selects the workers of a service for a kind of job.
@@ -54,7 +55,7 @@
 func (b *Board) pool(key poolKey, now time.Time) []*workerState {
 	var out []*workerState
 	for _, w := range b.workers {
-		if w.Service == key.service && b.usable(w, now) && (key.longRunning || w.health.trusted(now)) {
+		if w.Service == key.service && b.poolExclusion(key, w, now) == NotExcluded {
 			out = append(out, w)
 		}
 	}
@@ -62,12 +63,45 @@
 	return out
 }
 
-// usable reports whether a worker may be given tasks. Of one that has started again,
-// the kind and the capacity are known only once its new entry has been read.
+// poolExclusion returns why a worker of the service is not in the pool.
+func (b *Board) poolExclusion(key poolKey, w *workerState, now time.Time) Exclusion {
+	if cause := b.exclusion(w, now); cause != NotExcluded {
+		return cause
+	}
+	if !key.longRunning && !w.health.trusted(now) {
+		return Failing
+	}
+	return NotExcluded
+}
+
+// usable reports whether a worker may be given tasks.
 func (b *Board) usable(w *workerState, now time.Time) bool {
-	current := w.Born.IsZero() || !w.Born.Before(w.incarnation)
-	return current && w.listed && !w.Draining && b.mayOrder(w) && w.reportedToken == b.token &&
-		!b.evacuated[w.Zone] && now.After(w.blockedUntil)
+	return b.exclusion(w, now) == NotExcluded
+}
+
+// exclusion returns why a worker may not be given tasks. Of one that has started
+// again, the kind and the capacity are known only once its new entry has been read.
+func (b *Board) exclusion(w *workerState, now time.Time) Exclusion {
+	switch {
+	case !w.listed:
+		return Unlisted
+	case !w.Born.IsZero() && w.Born.Before(w.incarnation):
+		return OldEntry
+	case w.Draining:
+		return DrainingWorker
+	}
+	if cause := b.orderExclusion(w); cause != NotExcluded {
+		return cause
+	}
+	switch {
+	case w.reportedToken != b.token:
+		return NotReported
+	case b.evacuated[w.Zone]:
+		return EvacuatedZone
+	case !now.After(w.blockedUntil):
+		return Refusing
+	}
+	return NotExcluded
 }
 
 // placeJob starts the tasks of a job that are ready and fit.
@@ -97,7 +131,7 @@
 }
 
 func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, shortages *shortage, now time.Time) {
-	if !j.account.Admits(step.spec.Size) {
+	if !j.admits(step) {
 		return
 	}
 	urgent := b.urgent(j) && !step.spec.Filler
@@ -111,7 +145,7 @@
 		return
 	}
 	for _, t := range step.tasks {
-		if b.startsLeft <= 0 || !j.account.Admits(step.spec.Size) {
+		if b.startsLeft <= 0 || !j.admits(step) {
 			return
 		}
 		if ruledOut && !b.longDown(step, t, now) || !b.startable(j, t, now) {
@@ -137,10 +171,40 @@
 	}
 }
 
+// admits reports whether the limit of the job's organisation admits what the step
+// starts at once: one task, or a whole gang.
+func (j *job) admits(step *stepState) bool {
+	if step.spec.Gang {
+		return j.account.MayStart(step.spec.Size) >= len(step.tasks)
+	}
+	return j.account.Admits(step.spec.Size)
+}
+
 // startable reports whether a task waits and nothing but capacity may keep it from
 // a start.
 func (b *Board) startable(j *job, t *task, now time.Time) bool {
-	return t.phase == waiting && !now.Before(t.notBefore) && b.mayStartTask(j, t)
+	return t.phase == waiting && b.taskReason(j, t, now) == NoReason
+}
+
+// jobReason returns why no task of the job is placed, whatever it asks for.
+func (b *Board) jobReason(j *job) Reason {
+	switch {
+	case j.departing:
+		return Departing
+	case b.held(j):
+		return Balancing
+	case j.inherited != 0 && !j.hasLocated:
+		return Takeover
+	}
+	return NoReason
+}
+
+// taskReason returns why a waiting task is not placed, apart from capacity.
+func (b *Board) taskReason(j *job, t *task, now time.Time) Reason {
+	if now.Before(t.notBefore) {
+		return RetryPause
+	}
+	return b.doubt(j, t)
 }
 
 // urgent reports whether the job is a quick one of the highest priority:
--- a/internal/process/schedule/preempt.go
+++ b/internal/process/schedule/preempt.go
@@ -151,6 +151,7 @@
 		return
 	}
 	delete(b.reservations, key)
+	b.shortages = nil
 	if w := b.workers[held.worker]; w != nil {
 		w.reserved = w.reserved.Sub(held.size)
 	}
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -73,16 +73,22 @@
 // mayStartTask reports whether a task is certain not to be running already, or to
 // be done, and is not to be given up once its job is settled.
 func (b *Board) mayStartTask(j *job, t *task) bool {
-	if t.confirmAfter.After(b.confirmedAt) {
-		return false
-	}
-	if j.inherited == 0 {
-		return true
-	}
-	if b.removedAt.After(b.confirmedAt) {
-		return false
+	return b.doubt(j, t) == NoReason
+}
+
+// doubt returns why a task may be running already, or may be done.
+func (b *Board) doubt(j *job, t *task) Reason {
+	switch {
+	case t.confirmAfter.After(b.confirmedAt):
+		return Confirmation
+	case j.inherited == 0:
+		return NoReason
+	case b.removedAt.After(b.confirmedAt):
+		return Confirmation
+	case !t.located || len(t.crashes) >= maxDoubtfulCrashes || len(b.unsettledWorkers(t)) > 0:
+		return Takeover
 	}
-	return t.located && len(t.crashes) < maxDoubtfulCrashes && len(b.unsettledWorkers(t)) == 0
+	return NoReason
 }
 
 // unsettledWorkers returns the last workers of a task that are not accounted
--- a/internal/process/schedule/tickets.go
+++ b/internal/process/schedule/tickets.go
@@ -59,22 +59,31 @@
 			denied:  map[string]bool{},
 		}
 	}
-	var out, unknown []*workerState
+	out, unknown := b.divide(step, pool, now)
+	if len(unknown) > 0 && !step.advice.requesting && !now.Before(step.advice.retryAfter) {
+		b.requestTickets(queue, step, unknown)
+	}
+	return out
+}
+
+// divide returns the workers with a ticket for the step and, if none of them has
+// capacity, those with capacity for which a ticket may be requested.
+func (b *Board) divide(step *stepState, pool []*workerState, now time.Time) (admitted, unknown []*workerState) {
 	hasCapacity := false
 	for _, w := range pool {
 		held, ok := step.advice.tickets[w.ID]
 		switch {
 		case ok && held.incarnation.Equal(w.incarnation) && now.Add(ticketMargin).Before(held.until):
-			out = append(out, w)
+			admitted = append(admitted, w)
 			hasCapacity = hasCapacity || b.fits(w, step, step.tasks[0])
 		case !step.advice.denied[w.ID] && b.fits(w, step, step.tasks[0]):
 			unknown = append(unknown, w)
 		}
 	}
-	if !hasCapacity && len(unknown) > 0 && !step.advice.requesting && !now.Before(step.advice.retryAfter) {
-		b.requestTickets(queue, step, unknown)
+	if hasCapacity {
+		return admitted, nil
 	}
-	return out
+	return admitted, unknown
 }
 
 func (b *Board) requestTickets(queue catalog.Queue, step *stepState, workers []*workerState) {
