Log the longest waits beside free capacity, and count them by reason

Once a second the leader adds the tasks that do not run to a counter by reason, and writes a line for the job of each service and organisation that has waited longest while the service has room for the task twice, eight at most, and one when such a wait has ended.

--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -25,6 +25,7 @@
 		"preempted_down", summary.Down, "events", len(t.leader.events), "orders", len(t.waiting), "late", t.leader.lag.judge.delay)
 	t.summariseOrganisations(now)
 	t.reportWaits(summary.Placement)
+	t.reportReasons(now)
 	if summary.Delayed == 0 {
 		return
 	}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -61,6 +61,7 @@
 	// reportedWaits are the waits for preferred racks that were logged and counted.
 	reportedWaits schedule.WaitCounts
 	urgentCounts  schedule.UrgentCounts
+	followedWaits followedWaits
 	waking        bool
 	moves         moves
 	quotas        quotas
--- a/internal/process/schedule/waitreport.go
+++ b/internal/process/schedule/waitreport.go
@@ -13,19 +13,30 @@
 	// Longest has, for each service and organisation, the job that has waited longest
 	// of those with room. The longest wait goes first.
 	Longest []Waiting
+	// Followed has the jobs that were asked for and of which nothing runs.
+	Followed map[string]Waiting
 }
 
-// WaitReport returns why tasks wait now. It goes through all open jobs.
-func (b *Board) WaitReport(now time.Time) WaitReport {
+// WaitReport returns why tasks wait now, and the jobs of which nothing runs among
+// those that are followed. It goes through all open jobs.
+func (b *Board) WaitReport(followed func(id string) bool, now time.Time) WaitReport {
 	type group struct {
 		service, organisation string
 	}
-	var out WaitReport
+	out := WaitReport{
+		Followed: map[string]Waiting{},
+	}
 	longest := map[group]Waiting{}
 	shared := newExplainer(b, now)
 	for _, j := range b.open {
 		next, waits := shared.explain(j, &out.Tasks)
-		if !waits || !next.Room {
+		if !waits {
+			continue
+		}
+		if followed(next.Job) {
+			out.Followed[next.Job] = next
+		}
+		if !next.Room {
 			continue
 		}
 		key := group{
