--- a/internal/process/schedule/explainer.go
+++ b/internal/process/schedule/explainer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/request/work"
 )
 
 // explainer finds the reasons of jobs at one time. It keeps what jobs have in
@@ -91,9 +92,10 @@
 }
 
 // hasRoom reports whether the workers of the service that are listed and stay have
-// free capacity for a task of the step twice, or for the whole step if it is a gang.
-func (e *explainer) hasRoom(j *job, step *stepState) bool {
+// free capacity for a task twice, or for all of its step if it is a gang.
+func (e *explainer) hasRoom(j *job, task work.TaskKey) bool {
 	const twice = 2
+	_, step, _ := j.find(task)
 	needed := twice
 	if step.spec.Gang {
 		needed *= len(step.tasks)
--- a/internal/process/schedule/stepcause.go
+++ b/internal/process/schedule/stepcause.go
@@ -9,13 +9,14 @@
 	view *poolView
 	// common holds for all tasks, unless its reason is NoReason.
 	common cause
-	// plain is the outcome of the search for a task without a state of its own, nil
-	// before the first.
-	plain *cause
+	// plain is the outcome of the search for a task without a state of its own, valid
+	// if searched is set.
+	plain    cause
+	searched bool
 }
 
-func newStepCause(e *explainer, j *job, step *stepState) *stepCause {
-	out := &stepCause{
+func newStepCause(e *explainer, j *job, step *stepState) stepCause {
+	out := stepCause{
 		explainer: e,
 		job:       j,
 		step:      step,
@@ -138,11 +139,10 @@
 	b := s.board
 	held, reserved := b.reservations[t.key]
 	if !reserved && t.wait == nil && !b.longDown(s.step, t, s.now) {
-		if s.plain == nil {
-			plain := s.search(t)
-			s.plain = &plain
+		if !s.searched {
+			s.plain, s.searched = s.search(t), true
 		}
-		return *s.plain
+		return s.plain
 	}
 	switch {
 	case reserved && b.reservedWorker(held, s.step, t, s.view.workers) != nil:
--- a/internal/process/schedule/waiting.go
+++ b/internal/process/schedule/waiting.go
@@ -44,7 +44,10 @@
 	if j == nil {
 		return Waiting{}, false
 	}
-	return newExplainer(b, now).explain(j, &Reasons{})
+	alone := newExplainer(b, now)
+	out, waits := alone.explain(j, &Reasons{})
+	out.Room = waits && alone.hasRoom(j, out.Task)
+	return out, waits
 }
 
 // cause is a reason with what is known of its end.
@@ -59,10 +62,8 @@
 // jobCause collects what is known of the tasks of one job.
 type jobCause struct {
 	cause
-	// task and step are those that the cause is told of, nil if no ready task
-	// waits.
+	// task is the one that the cause is told of, nil if no ready task waits.
 	task *task
-	step *stepState
 	// runs is set if a task runs.
 	runs bool
 	// readySince is since when a step has been ready, and lastEnd when a run ended.
@@ -70,7 +71,7 @@
 }
 
 // explain returns why nothing of a job runs, and adds its tasks that do not run to
-// counts.
+// counts. Whether there is room is left to hasRoom.
 func (e *explainer) explain(j *job, counts *Reasons) (Waiting, bool) {
 	var found jobCause
 	for _, occ := range j.occurrences {
@@ -96,7 +97,6 @@
 		Until:        found.until,
 		Since:        latestOf(latestOf(found.readySince, found.lastEnd), j.seen),
 		Worker:       found.worker,
-		Room:         e.hasRoom(j, found.step),
 	}
 	if found.excluded != nil {
 		out.Excluded = *found.excluded
@@ -128,7 +128,7 @@
 		waits = true
 		counts[next.reason]++
 		if found.task == nil || next.goesBefore(found.cause) {
-			found.cause, found.task, found.step = next, t, step
+			found.cause, found.task = next, t
 		}
 		found.lastEnd = latestOf(found.lastEnd, step.lastEnd(t))
 	}
--- a/internal/process/schedule/waitreport.go
+++ b/internal/process/schedule/waitreport.go
@@ -36,14 +36,14 @@
 		if followed(next.Job) {
 			out.Followed[next.Job] = next
 		}
-		if !next.Room {
-			continue
-		}
 		key := group{
 			service:      next.Service,
 			organisation: next.Organisation,
 		}
-		if known, ok := longest[key]; !ok || compareWaiting(next, known) < 0 {
+		if known, ok := longest[key]; ok && compareWaiting(known, next) < 0 {
+			continue
+		}
+		if next.Room = shared.hasRoom(j, next.Task); next.Room {
 			longest[key] = next
 		}
 	}
