Let a task that was never started hold back none that has long been down

Callers see: a long-running task that has been down for over 9 s waits beside capacity that is kept for others, for as long as another task of its step, which was never started, finds no room.

Cause: the first task of a step that does not fit ends the search for the step. A task that has been down for long may use reserved capacity, and fits where the first one did not. A task that was never started is never down for long, so that this has no end.

Evidence: TestTaskThatWasNeverStartedDoesNotHoldBackOneThatIsDown, which failed before. Change: the search goes on for tasks that have long been down.

Ruled out: to go on after any task that does not fit.

--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -176,7 +176,10 @@
 		default:
 			shortages.lacking = true
 			shortages.record(step.spec, t)
-			return
+			if !step.spec.LongRunning || !t.endedAt.IsZero() {
+				return
+			}
+			ruledOut = true // a task that was never started is never down for long
 		}
 	}
 }
