--- a/internal/process/schedule/silentwaits_test.go
+++ b/internal/process/schedule/silentwaits_test.go
@@ -132,7 +132,7 @@
 	board.AddJob(testJob("b", "plans", tasks(1, 4000)), nil, false, testStart, testStart)
 	now := testStart
 	board.workers["w0"].blockedUntil = testStart.Add(returnAfter)
-	for now.Before(testStart.Add(10 * time.Second)) && !startedJobs(board)["b"] {
+	for now.Before(testStart.Add(10*time.Second)) && !startedJobs(board)["b"] {
 		now = now.Add(simulationStep)
 		poll(board, "w0", now)
 		board.Decide(now, true)
