--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -161,10 +161,7 @@
 		if ruledOut && !b.longDown(step, t, now) || !b.startable(j, t, now) {
 			continue
 		}
-		w := preferred.declinedBefore(t)
-		if w == nil {
-			w = b.chooseWorker(step, t, pool)
-		}
+		w := b.candidate(preferred, step, t, pool)
 		switch {
 		case w != nil && preferred.waits(t, w):
 		case w != nil:
@@ -184,6 +181,14 @@
 	}
 }
 
+// candidate returns the worker that the task would run on now, nil if there is none.
+func (b *Board) candidate(preferred *preference, step *stepState, t *task, pool []*workerState) *workerState {
+	if w := preferred.declinedBefore(t); w != nil {
+		return w
+	}
+	return b.chooseWorker(step, t, pool)
+}
+
 // admits reports whether the limit of the job's organisation admits what the step
 // starts at once: one task, or a whole gang.
 func (j *job) admits(step *stepState) bool {
