Use call slots that an earlier term of the host has freed

What callers see: a leader decides nothing any more, and all jobs wait.

Cause: waiting orders are sent when an order is added or answered. Calls of an earlier term of the same host hold slots when the next one begins, and their answers are dropped. With as many orders waiting as may wait, no start is decided on, so that none is added or answered.

Change: waiting orders are sent after each decision too.

--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -46,6 +46,7 @@
 			throttle: &effects.Throttles[i],
 		}, effects.Throttles[i].Worker, now)
 	}
+	t.dispatch(now) // calls of an earlier term may have freed slots, and tell nobody
 }
 
 func (t *term) order(c *call, worker string, now time.Time) {
