Order the throttle level again if a filler does not follow it

What callers see: a job of fillers never ends though it runs; or a serving task is disturbed by a filler that the leader believes halted.

A successor took all fillers for unthrottled ones, so that one which the leader before had halted stayed so; alone it was stopped as stalled after 3 s, in a gang never. And an order without an answer may be carried out after the newer one that replaced it.

Change: the level of a filler that is taken over and uses less than it asked for is ordered anew, and so is one that the reported use contradicts a second after the order.

--- a/internal/process/schedule/async_checks_test.go
+++ b/internal/process/schedule/async_checks_test.go
@@ -260,7 +260,13 @@
 		out += fmt.Sprintf("worker %s: service %s, free %+v, reserved %+v, idle %d, usable %t, trusted %t, reachable %t, reported %t, lease %s\n", name, w.Service, w.free(), w.reserved, w.idle,
 			sim.board.usable(w, sim.now), w.health.trusted(sim.now), w.reachable, w.reportedToken == sim.token, w.leaseEnd.Sub(sim.now))
 		for key, held := range w.claims {
-			out += fmt.Sprintf("  %s run %d confirmed %t startDue %t stopping %t barred %t orphaned %t\n", key, held.run, held.confirmed, held.startDue, !held.stopping.IsZero(), !held.barred.IsZero(), held.orphaned)
+			out += fmt.Sprintf("  %s run %d confirmed %t startDue %t stopping %t barred %t orphaned %t throttle %d in use %d\n", key, held.run, held.confirmed, held.startDue, !held.stopping.IsZero(), !held.barred.IsZero(), held.orphaned,
+				held.throttle, held.inUse)
+		}
+	}
+	for _, simWorker := range sim.machines {
+		for key, running := range simWorker.running {
+			out += fmt.Sprintf("%s runs %s: %+v\n", simWorker.listing.ID, key, *running)
 		}
 	}
 	return out
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -67,6 +67,8 @@
 	// throttle is the ordered throttle level, from 0 (halted) to 100 (full
 	// speed).
 	throttle int
+	// throttleSetAt is when the level was last ordered, zero if it never was.
+	throttleSetAt time.Time
 	// haltedSince is since when a filler has been throttled to a halt.
 	haltedSince time.Time
 	// requested is what a filler asked for and inUse its newest reported use,
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -157,6 +157,9 @@
 	b.acquit(j, t, row.Run)
 	held := b.claim(w, j, step, t, row.Run, now)
 	held.confirmed = true
+	if held.filler && row.MilliCores < held.requested {
+		held.throttle = unknownThrottle // an earlier leader may have throttled it
+	}
 	if step.spec.LongRunning {
 		if !slices.Contains(t.lastWorkers, w.ID) {
 			b.markChanged(j)
@@ -184,6 +187,9 @@
 	}
 	if held.filler {
 		held.inUse = row.MilliCores
+		if held.contradictsThrottle(sent) {
+			held.throttle = unknownThrottle
+		}
 	}
 	if held.serving {
 		held.latency = row.Tail
--- a/internal/process/schedule/throttle.go
+++ b/internal/process/schedule/throttle.go
@@ -31,6 +31,16 @@
 	throttleFloor = 15
 )
 
+// throttleTimeout is the least time from an order to a report that shows its effect.
+const throttleTimeout = time.Second
+
+// contradictsThrottle reports whether a filler runs that was halted, or the other way
+// round: an earlier order without an answer was carried out after the newest one.
+func (c *claim) contradictsThrottle(sent time.Time) bool {
+	return !c.throttleSetAt.IsZero() && c.throttle != unknownThrottle && sent.Sub(c.throttleSetAt) >= throttleTimeout &&
+		(c.throttle > 0) != (c.inUse > 0)
+}
+
 // haltedTimeout is how long a filler stays halted where it interferes before
 // it is stopped, to resume where it does not.
 const haltedTimeout = 1200 * time.Millisecond
@@ -160,7 +170,7 @@
 	if throttle > held.throttle {
 		w.lastRaise = now
 	}
-	held.throttle = throttle
+	held.throttle, held.throttleSetAt = throttle, now
 	if throttle > 0 {
 		held.haltedSince = time.Time{}
 	} else if held.haltedSince.IsZero() {
