--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -142,10 +142,7 @@
 		default:
 			shortages.lacking = true
 			shortages.record(step.spec, t)
-			if !step.spec.LongRunning {
-				return
-			}
-			ruledOut = true // but a task that has long been down may use reserved capacity
+			return
 		}
 	}
 }
