Take a worker for gone once a younger one has its address

Callers see: after all hosts and workers have lost power, nothing runs for 9.4 s although all of them are back; long-running tasks are 12.7 s after their last run.

Cause: workers that come back under other ids leave their former ids in the roster. A new leader waits for these until the longest lease is over, and a leader that stays keeps the claims there until then, although another process answers at the address.

Change: a worker that does not answer, and at whose address a younger worker is listed, is removed: its process has ended, and its runs with it. Orders name the worker that they are for, and the younger one refuses those for the former.

Ruled out: that a former worker goes on beside the younger one.

--- a/internal/process/schedule/drain.go
+++ b/internal/process/schedule/drain.go
@@ -58,3 +58,18 @@
 		w.closed = true
 	}
 }
+
+// isReplaced reports whether a younger worker is listed at the address of one that
+// does not answer: its process has ended, and its runs with it. An order that is on its
+// way names the worker, and the younger one refuses it.
+func (w *workerState) isReplaced(listings map[string]Listing) bool {
+	if w.reachable || w.Born.IsZero() {
+		return false
+	}
+	for _, other := range listings {
+		if other.Address == w.Address && other.Born.After(latestOf(w.Born, w.incarnation)) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -133,7 +133,7 @@
 			w.listed, w.unlistedSince = false, now
 		}
 		w.leftList = reliable
-		if b.hasLeft(w) {
+		if b.hasLeft(w) || w.isReplaced(listings) {
 			b.remove(w, now)
 			continue
 		}
