Keep removed workers in the record until the roster is without them

Callers see: after a takeover, tasks of the whole service wait for up to 9.4 s beside free workers, for a worker that was gone long before.

Cause: a successor waits for each worker of the roster in the store. What the leader before knew of unreachable ones is in another record, from which a worker disappeared as soon as the board had removed it. The roster without it follows up to a second later, or more if that write gets no answer.

TestSuccessorDoesNotWaitForARemovedWorker, which failed before.

Change: a removed worker stays in the record, with nothing left to wait, until a roster without it has been stored; one that is listed again is no removed worker.

Ruled out: to write both in one commit; the roster may be refused for its size alone.

--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -271,6 +271,7 @@
 			klog.InfoS("roster written", "workers", len(roster), "err", err)
 			if err == nil {
 				t.roster.stored = rosterTargets(roster)
+				t.leader.board.RosterStored(roster)
 			}
 		},
 	})
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -146,6 +146,7 @@
 		placement:      newPlacement(),
 		unreachable: unreachable{
 			withheld: map[string]bool{},
+			removed:  map[string]bool{},
 		},
 		startsLeft: math.MaxInt,
 	}
--- a/internal/process/schedule/unreachable.go
+++ b/internal/process/schedule/unreachable.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// unreachableGap is the least time between two records of unreachable workers.
@@ -30,6 +33,10 @@
 	failed  bool
 	// runsGoOn is set if the last record said that runs may go on.
 	runsGoOn bool
+	// removed holds the workers that were removed and may still be in the roster in
+	// the store. Every run of theirs is over: without a word of it in the record, a
+	// successor waits for them anew.
+	removed map[string]bool
 }
 
 // MayRequestLease reports whether a lease may be requested of a worker.
@@ -38,7 +45,7 @@
 }
 
 // UnreachableWorkers returns, by worker, the time until every run is over on the
-// workers that do not answer, if that has to be written to the store. From here on
+// workers that do not answer or were removed, if that has to be written to the store. From here on
 // no lease is requested of them.
 func (b *Board) UnreachableWorkers(now time.Time) (waits map[string]time.Duration, due bool) {
 	state := &b.unreachable
@@ -52,6 +59,10 @@
 		added = added || !state.withheld[id]
 		runsGoOn = runsGoOn || waits[id] > 0
 	}
+	for id := range state.removed {
+		waits[id] = 0
+		added = added || !state.withheld[id]
+	}
 	answered := false
 	for id := range state.withheld {
 		if _, ok := waits[id]; !ok {
@@ -113,3 +124,12 @@
 		b.unreachable.withheld[id] = true
 	}
 }
+
+// RosterStored records that the roster in the store has no other workers than these.
+func (b *Board) RosterStored(roster []Listing) {
+	stored := make(map[string]bool, len(roster))
+	for _, listing := range roster {
+		stored[listing.ID] = true
+	}
+	maps.DeleteFunc(b.unreachable.removed, func(id string, _ bool) bool { return !stored[id] })
+}
--- a/internal/process/schedule/unreachable_test.go
+++ b/internal/process/schedule/unreachable_test.go
@@ -50,6 +50,66 @@
 	assert.LessOrEqual(t, now.Add(waits["w1"]), over.Add(takeovers))
 }
 
+// Guards against a successor that waits for the longest lease of a worker which was
+// gone before: the leader had removed it from its record, and not yet from the roster.
+func TestSuccessorDoesNotWaitForARemovedWorker(t *testing.T) {
+	first := testBoard("w0", "w1")
+	roster := first.Roster()
+	breakConnection(first, "w1", testStart)
+	waits, due := first.UnreachableWorkers(testStart)
+	require.True(t, due)
+	first.UnreachableWritten(waits, true)
+	now := first.workers["w1"].leaseEnd.Add(time.Millisecond)
+	listings := map[string]Listing{"w0": first.workers["w0"].Listing}
+	for range 2 {
+		first.SetWorkers(listings, true, now)
+		now = now.Add(first.config.ListGrace + time.Millisecond)
+	}
+	require.NotContains(t, first.workers, "w1")
+	if newest, due := first.UnreachableWorkers(now); due {
+		waits = newest
+		first.UnreachableWritten(waits, true)
+	}
+
+	second := NewBoard(testConfig())
+	second.SetCatalog(testCatalog())
+	second.Begin(testToken+1, now)
+	second.AddRoster(roster, now)
+	second.ApplyUnreachable(waits, now)
+	second.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, true, now, now)
+	second.SetWorkers(listings, true, now)
+	poll(second, "w0", now)
+	now = now.Add(simulationStep)
+	second.Confirmed(now)
+	assert.Len(t, second.Decide(now, true).Starts, 1)
+
+	first.RosterStored(first.Roster())
+	newest, due := first.UnreachableWorkers(now.Add(unreachableGap))
+	assert.True(t, due, "the roster is without it now")
+	assert.Empty(t, newest)
+}
+
+// Guards against a wait that is taken for over: a worker was removed, and is listed
+// again.
+func TestRemovedWorkerThatIsListedAgainIsWaitedFor(t *testing.T) {
+	board := testBoard("w0", "w1")
+	listing := board.workers["w1"].Listing
+	board.remove(board.workers["w1"], testStart)
+	waits, due := board.UnreachableWorkers(testStart)
+	require.True(t, due)
+	require.Zero(t, waits["w1"])
+	board.UnreachableWritten(waits, true)
+	now := testStart.Add(unreachableGap)
+	board.SetWorkers(map[string]Listing{"w0": board.workers["w0"].Listing, "w1": listing}, true, now)
+	assert.False(t, board.MayRequestLease("w1"), "the record says that its runs are over")
+	poll(board, "w1", now)
+	waits, due = board.UnreachableWorkers(now)
+	require.True(t, due)
+	assert.NotContains(t, waits, "w1")
+	board.UnreachableWritten(waits, true)
+	assert.True(t, board.MayRequestLease("w1"))
+}
+
 // Guards against a lease that outlives what the record in the store says of it.
 func TestNoLeaseIsRequestedOfAWorkerInTheRecord(t *testing.T) {
 	board := testBoard("w0")
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -157,6 +157,7 @@
 		leaseEnd:      b.earlierLeaseEnd(),
 	}
 	b.workers[listing.ID] = w
+	delete(b.unreachable.removed, listing.ID)
 	return w
 }
 
@@ -260,6 +261,7 @@
 		}
 	}
 	delete(b.workers, w.ID)
+	b.unreachable.removed[w.ID] = true
 	b.removedAt, b.confirmAfter = now, later(b.confirmAfter, now)
 }
 
