--- a/internal/process/schedule/tickets_test.go
+++ b/internal/process/schedule/tickets_test.go
@@ -58,3 +58,36 @@
 	assert.Empty(t, board.Decide(testStart, true).TicketRequests)
 	assert.Len(t, board.Decide(testStart.Add(ticketRetryDelay), true).TicketRequests, 1)
 }
+
+// Guards against a step that is sent to the same worker again and again until the term
+// of a ticket ends which the worker does not accept: the worker restarted while the
+// request was under way, and the ticket is for the incarnation before.
+func TestRefusedTicketIsNotUsedAgain(t *testing.T) {
+	board := advisedBoard()
+	board.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, false, testStart, testStart)
+	request := board.Decide(testStart, true).TicketRequests[0]
+	board.TicketsReplied(request, map[string]string{"w1": "old"}, time.Minute, testStart, true, testStart)
+	starts := board.Decide(testStart, true).Starts
+	require.Len(t, starts, 1)
+	refusals, now := 0, testStart
+	for now.Before(testStart.Add(3 * time.Second)) {
+		for _, start := range starts {
+			verdict := Accepted
+			if start.Ticket == "old" {
+				verdict = NoTicket
+				refusals++
+			}
+			board.StartReplied(start, verdict, now)
+		}
+		now = now.Add(simulationStep)
+		poll(board, "w0", now)
+		poll(board, "w1", now)
+		effects := board.Decide(now, true)
+		starts = effects.Starts
+		for _, again := range effects.TicketRequests {
+			board.TicketsReplied(again, map[string]string{"w1": "new"}, time.Minute, now, true, now)
+		}
+	}
+	assert.Equal(t, 1, refusals)
+	assert.Contains(t, startedJobs(board), "a")
+}
