Drop a ticket that its worker has refused

Callers see: a step of a queue with an advice service has nothing running, and its tasks are refused every 200 ms by one worker, until the term of the ticket ends.

Cause: a ticket is recorded for the incarnation that the worker has when the answer of the advice service arrives. A worker that restarted while the request was under way refuses it. The refusal did not change the ticket, the worker counted as admitted and as one with capacity, and no ticket was requested for another.

Change: the refusal drops the ticket, and the next request waits for 200 ms.

--- a/internal/process/schedule/replies.go
+++ b/internal/process/schedule/replies.go
@@ -28,6 +28,9 @@
 		return
 	}
 	held.startDue = false
+	if verdict == NoTicket {
+		b.dropTicket(start, now)
+	}
 	if verdict != Unknown {
 		held.unanswered--
 	}
--- a/internal/process/schedule/tickets.go
+++ b/internal/process/schedule/tickets.go
@@ -137,6 +137,22 @@
 	}
 }
 
+// dropTicket drops a ticket that its worker has refused, so that the step is not sent
+// there again with it. The worker may have restarted while the ticket was requested:
+// then the ticket is for the incarnation before.
+func (b *Board) dropTicket(start Start, now time.Time) {
+	j := b.jobs[start.Key.Job]
+	if j == nil {
+		return
+	}
+	_, step, _ := j.find(start.Key)
+	if step == nil || step.advice == nil || step.advice.tickets[start.Worker].text != start.Ticket {
+		return
+	}
+	delete(step.advice.tickets, start.Worker)
+	step.advice.retryAfter = now.Add(pauseRetry)
+}
+
 // ticketFor returns the ticket that a start on the worker carries, empty if
 // none is needed.
 func (s *stepState) ticketFor(worker string) string {
