End the reservation of a worker that cannot take the urgent job

Callers see: an urgent job of `serve` waits for good, although batch work on other workers could be evicted for it or another zone has room.

Cause: the reservation of a worker that was cleared for an urgent job ended only with a write of the job's record. If the worker left, was withdrawn, fell silent or was put in quarantine, the job had no next event: with a reservation it neither evicts elsewhere nor is handed over.

Change: the reservation ends once its worker is not eligible for the job.

Evidence: TestUrgentJobDoesNotWaitForAWorkerThatCannotTakeIt in three cases, which failed before; the other tests of the package that passed before pass.

--- a/internal/process/dispatch/evict.go
+++ b/internal/process/dispatch/evict.go
@@ -20,9 +20,10 @@
 // that an urgent job fits there, and reserves the worker for that job. It
 // returns false if no worker can be cleared.
 func (p *Planner) preemptFor(next candidate, size worker.Size, now time.Time) bool {
-	if next.view.reserved != "" {
+	if w := p.workers[next.view.reserved]; w != nil && p.eligible(w, next, now) {
 		return true
 	}
+	p.releaseReservation(next.view) // it is leaving, withdrawn, silent or in quarantine
 	best, bestLoss := "", 0.0
 	var bestVictims []victim
 	for id, w := range p.workers {
@@ -47,6 +48,14 @@
 	return true
 }
 
+// releaseReservation ends the reservation of a worker for a job, if there is one.
+func (p *Planner) releaseReservation(view *jobView) {
+	if w := p.workers[view.reserved]; w != nil && w.reserved == view {
+		w.reserved = nil
+	}
+	view.reserved = ""
+}
+
 // victims picks attempts of a worker by ascending loss until the size fits. It
 // returns the attempts, the sum of their losses and whether the size fits.
 // Attempts that are already stopping count as free.
--- a/internal/process/dispatch/place.go
+++ b/internal/process/dispatch/place.go
@@ -172,10 +172,7 @@
 		p.countClass(w, view.record.Class, -1)
 	}
 	view.heldSize, view.heldOn = worker.Size{}, ""
-	if w := p.workers[view.reserved]; w != nil && w.reserved == view {
-		w.reserved = nil
-	}
-	view.reserved = ""
+	p.releaseReservation(view)
 }
 
 // chooseWorker returns the eligible worker with the lowest cost, empty without
