Look past jobs over their quota when placing the jobs of a zone

Callers see: jobs of `serve` wait beside free workers for as long as more than 512 jobs that go first are over their customer's quota. A worker that was cleared for an urgent job stays empty while the job is over its quota.

Cause: a tick considers 512 waiting jobs, and those over their quota, for which nothing is searched, counted among them. The reservation of a worker did not end with the quota that keeps its job from starting.

Change: jobs over their quota do not count, and keep no worker reserved.

Evidence: TestJobsOverTheirQuotaDoNotHoldBackOthers, which failed before; the whole package passes. The part about reservations has no test of its own.

--- a/internal/process/dispatch/place.go
+++ b/internal/process/dispatch/place.go
@@ -12,7 +12,8 @@
 const (
 	// maxPlacementsPerTick bounds the work of one tick.
 	maxPlacementsPerTick = 64
-	// maxCandidatesPerTick bounds the waiting jobs considered in one tick.
+	// maxCandidatesPerTick bounds the waiting jobs considered in one tick. Those over
+	// their quota do not count: they would hold back all that follow.
 	maxCandidatesPerTick = 512
 	// handOverDelay is how long a job waits for free capacity before it may be
 	// handed over to another zone.
@@ -102,20 +103,23 @@
 	if !input.Now.Before(input.PermitUntil) {
 		return
 	}
-	placed := 0
+	placed, considered := 0, 0
 	var unplaceable []worker.Size
-	for i, next := range p.waiting(input.Now) {
-		if placed == maxPlacementsPerTick || i == maxCandidatesPerTick {
+	for _, next := range p.waiting(input.Now) {
+		if placed == maxPlacementsPerTick || considered == maxCandidatesPerTick {
 			return
 		}
 		size := p.sizes.sizeFor(next.view.record)
 		if next.rank != rankUrgent && exceedsUnplaceable(unplaceable, size) {
+			considered++
 			p.handOver(next.view, input.Now)
 			continue
 		}
 		if p.overQuota(next.view.record.Customer, size) {
+			p.releaseReservation(next.view)
 			continue
 		}
+		considered++
 		if p.placeJob(next, size, input.Now) {
 			placed++
 			continue
