Add a failing test of a returning task whose ticket has expired

Callers see: a long-running task of a queue with an advice service that was preempted for a quick task is not started again, although its worker has become free.

Cause: capacity is kept there for the task, and the kept part counts as taken when workers are chosen for a ticket request. Only the first task of the step is asked whether it fits, and that one is running and never long down. The reservation is renewed each second, so that the wait has no end.

--- a/internal/process/schedule/tickets_test.go
+++ b/internal/process/schedule/tickets_test.go
@@ -91,3 +91,57 @@
 	assert.Equal(t, 1, refusals)
 	assert.Contains(t, startedJobs(board), "a")
 }
+
+// Guards against a preempted task that waits for good beside the capacity that is kept for
+// it: its ticket for the worker has expired, and no other is requested because what is kept
+// for the task itself counts as taken.
+func TestTaskWhoseCapacityIsReturnedGetsANewTicket(t *testing.T) {
+	board := testBoard("w0", "w1")
+	advised := testCatalog()
+	queue := advised.Queues["plans"]
+	queue.RequiresTicket, queue.TicketTime, queue.TicketTimePerWorker = true, 100*time.Millisecond, time.Millisecond
+	advised.Queues["plans"] = queue
+	board.SetCatalog(advised)
+	lasting := tasks(2, 8000)
+	lasting.LongRunning = true
+	board.AddJob(testJob("a", "plans", lasting), nil, false, testStart, testStart)
+	decide := func(now time.Time) {
+		poll(board, "w0", now)
+		poll(board, "w1", now)
+		for _, request := range board.Decide(now, true).TicketRequests {
+			board.TicketsReplied(request, map[string]string{"w0": "t0", "w1": "t1"}, time.Second, now, true, now)
+		}
+	}
+	decide(testStart)
+	now := testStart.Add(simulationStep)
+	decide(now)
+	step := board.jobs["a"].occurrences[0].steps[0]
+	down := step.tasks[1]
+	require.Equal(t, claimed, down.phase)
+	for _, held := range []*task{step.tasks[0], down} {
+		board.workers[held.worker].claims[held.key].confirmed = true
+	}
+	id := down.worker
+	now = now.Add(2 * time.Second)
+	board.now, down.preemptedAt = now, now
+	board.urgentCapacity.preempted[down.key] = id
+	board.release(board.workers[id], down.key, now)
+	board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, false, now, now)
+	quick := board.jobs["b"].occurrences[0].steps[0]
+	board.claim(board.workers[id], board.jobs["b"], quick, quick.tasks[0], board.nextRun(), now)
+	ended := now
+	for now.Sub(ended) < returnAfter+time.Second {
+		now = now.Add(simulationStep)
+		board.Decide(now, true)
+	}
+	board.Cancel("b", now)
+	board.release(board.workers[id], quick.tasks[0].key, now)
+	for down.phase != claimed && now.Sub(ended) < time.Minute {
+		now = now.Add(simulationStep)
+		board.workers["w0"].lastReport, board.workers["w1"].lastReport = now, now
+		for _, request := range board.Decide(now, true).TicketRequests {
+			board.TicketsReplied(request, map[string]string{"w0": "t0", "w1": "t1"}, time.Second, now, true, now)
+		}
+	}
+	assert.LessOrEqual(t, now.Sub(ended), 9*time.Second)
+}
