Request tickets for workers whose capacity is kept for the step

Callers see: a preempted long-running task of a queue with an advice service waits for good beside the capacity that is kept for it.

Change: a worker with capacity kept for a waiting task of the step counts as one with capacity for it, and the task that has been down for longest says what else fits.

Evidence: TestTaskWhoseCapacityIsReturnedGetsANewTicket, which failed before.

--- a/internal/process/schedule/tickets.go
+++ b/internal/process/schedule/tickets.go
@@ -70,13 +70,14 @@
 // capacity, those with capacity for which a ticket may be requested.
 func (b *Board) divide(step *stepState, pool []*workerState, now time.Time) (admitted, unknown []*workerState) {
 	hasCapacity := false
+	next := step.nextTask()
 	for _, w := range pool {
 		held, ok := step.advice.tickets[w.ID]
 		switch {
 		case ok && held.incarnation.Equal(w.incarnation) && now.Add(ticketMargin).Before(held.until):
 			admitted = append(admitted, w)
-			hasCapacity = hasCapacity || b.fits(w, step, step.tasks[0])
-		case !step.advice.denied[w.ID] && b.fits(w, step, step.tasks[0]):
+			hasCapacity = hasCapacity || b.fits(w, step, next) || b.returnsTo(w, step)
+		case !step.advice.denied[w.ID] && (b.fits(w, step, next) || b.returnsTo(w, step)):
 			unknown = append(unknown, w)
 		}
 	}
@@ -86,6 +87,36 @@
 	return admitted, unknown
 }
 
+// nextTask returns the waiting task of a long-running step that has been down for
+// longest, which may take reserved capacity before the others; else the first task.
+func (s *stepState) nextTask() *task {
+	next := s.tasks[0]
+	if !s.spec.LongRunning {
+		return next
+	}
+	for _, t := range s.tasks {
+		if t.phase != waiting || t.endedAt.IsZero() {
+			continue
+		}
+		if next.phase != waiting || next.endedAt.IsZero() || t.endedAt.Before(next.endedAt) {
+			next = t
+		}
+	}
+	return next
+}
+
+// returnsTo reports whether capacity on the worker is kept for a long-running task of the
+// step that may start there. It counts as taken for all other tasks.
+func (b *Board) returnsTo(w *workerState, step *stepState) bool {
+	if !step.spec.LongRunning {
+		return false
+	}
+	return slices.ContainsFunc(step.tasks, func(t *task) bool {
+		held, ok := b.reservations[t.key]
+		return ok && held.worker == w.ID && b.reservedWorker(held, step, t, []*workerState{w}) != nil
+	})
+}
+
 func (b *Board) requestTickets(queue catalog.Queue, step *stepState, workers []*workerState) {
 	slices.SortFunc(workers, func(a, c *workerState) int {
 		return cmp.Or(-cmp.Compare(a.free().MilliCores, c.free().MilliCores), cmp.Compare(a.ID, c.ID))
