Add a failing test of a gang that needs more tickets

Callers see: a gang of a queue with an advice service has nothing running while workers that it may use have room, until its tickets expire.

Cause: no ticket is requested while one worker with a ticket has room for one task.

Evidence: TestGangRequestsTicketsUntilAllOfItFits, no start in 3 s.

--- a/internal/process/schedule/tickets_test.go
+++ b/internal/process/schedule/tickets_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -145,3 +146,31 @@
 	}
 	assert.LessOrEqual(t, now.Sub(ended), 9*time.Second)
 }
+
+// Guards against a gang that waits until its tickets expire: the workers with a ticket
+// have room for a part of it, and no more tickets are requested.
+func TestGangRequestsTicketsUntilAllOfItFits(t *testing.T) {
+	ids := []string{}
+	for number := range maxTicketWorkers + 2 {
+		ids = append(ids, fmt.Sprintf("w%02d", number))
+	}
+	board := testBoard(ids...)
+	board.SetCatalog(advisedBoard().catalog)
+	gang := tasks(2, 8000)
+	gang.Gang = true
+	board.AddJob(testJob("a", "plans", gang), nil, false, testStart, testStart)
+	for now := testStart; now.Before(testStart.Add(3 * time.Second)); now = now.Add(simulationStep) {
+		effects := board.Decide(now, true)
+		for _, request := range effects.TicketRequests {
+			// The policy permits the first and the last worker.
+			granted := map[string]string{}
+			for _, id := range request.Workers {
+				if id == ids[0] || id == ids[len(ids)-1] {
+					granted[id] = id
+				}
+			}
+			board.TicketsReplied(request, granted, time.Minute, now, true, now)
+		}
+	}
+	assert.Contains(t, startedJobs(board), "a")
+}
