Request tickets until a whole gang fits

Callers see: a gang of a queue with an advice service waits beside free workers until its tickets expire.

Change: the workers with a ticket have capacity for a gang if all that waits of it fits.

Evidence: TestGangRequestsTicketsUntilAllOfItFits, which failed before.

--- a/internal/process/schedule/tickets.go
+++ b/internal/process/schedule/tickets.go
@@ -67,7 +67,7 @@
 }
 
 // divide returns the workers with a ticket for the step and, if none of them has
-// capacity, those with capacity for which a ticket may be requested.
+// capacity for a task, or not all of them for a whole gang, those with capacity for which a ticket may be requested.
 func (b *Board) divide(step *stepState, pool []*workerState, now time.Time) (admitted, unknown []*workerState) {
 	hasCapacity := false
 	next := step.nextTask()
@@ -81,6 +81,9 @@
 			unknown = append(unknown, w)
 		}
 	}
+	if step.spec.Gang {
+		hasCapacity = b.room(step, admitted) >= step.waiting
+	}
 	if hasCapacity {
 		return admitted, nil
 	}
