Add a failing test of a stop that was accepted before a restart

Callers see: a task may run twice.

Cause: a worker restarts while a start without an answer may still arrive, and while a stop of its run is under way. The run is stopped anew, so that the new incarnation bars it, but an answer that the incarnation before gave to the first stop is taken for that of the second. The claim then counts as barred: the second stop is not repeated, and the task starts elsewhere.

Evidence: TestStopAcceptedBeforeARestartBarsNothingAfterIt; the task starts elsewhere although the new incarnation has accepted no stop. Stop gets the field that the test needs, which is not used yet.

--- a/internal/process/schedule/orders.go
+++ b/internal/process/schedule/orders.go
@@ -26,6 +26,8 @@
 	Run    int64
 	// Reason is for the log.
 	Reason string
+	// Incarnation is that of the worker which has the run, zero if no claim has it.
+	Incarnation time.Time
 }
 
 // Throttle sets the throttle level of a run.
--- a/internal/process/schedule/restart_test.go
+++ b/internal/process/schedule/restart_test.go
@@ -245,3 +245,47 @@
 	}, now.Add(time.Second))
 	assert.Equal(t, reborn, board.workers["w0"].incarnation)
 }
+
+// Guards against a task that runs twice: a stop which the incarnation before accepted is
+// taken for an answer of the one that runs now. That one has barred nothing, and a
+// delayed copy of the start begins the run there.
+func TestStopAcceptedBeforeARestartBarsNothingAfterIt(t *testing.T) {
+	board := testBoard("w0", "w1")
+	board.AddJob(testJob("a", "quotes", tasks(1, 8000)), nil, false, testStart, testStart)
+	start := board.Decide(testStart, true).Starts[0]
+	board.LeaseExtended(start.Worker, testStart)
+	now := testStart
+	for range maxRetries + 1 {
+		board.StartReplied(start, Unknown, now)
+		now = now.Add(simulationStep)
+		board.Decide(now, true)
+	}
+	board.now = now
+	held := board.workers[start.Worker].claims[start.Key]
+	require.False(t, held.stopping.IsZero())
+	before := Stop{
+		Worker:      start.Worker,
+		Key:         start.Key,
+		Run:         start.Run,
+		Incarnation: testBorn,
+	}
+	reborn := testBorn.Add(time.Minute)
+	relist(board, start.Worker, reborn, now)
+	report(board, start.Worker, reborn, now)
+	after := board.Decide(now, true).Stops
+	require.Len(t, after, 1)
+	board.StopReplied(before, Accepted, now)
+	board.StopReplied(after[0], NotSent, now)
+	repeated := 0
+	for now.Before(testStart.Add(5 * time.Second)) {
+		now = now.Add(simulationStep)
+		report(board, start.Worker, reborn, now)
+		effects := board.Decide(now, true)
+		require.Empty(t, effects.Starts, "the run may still begin")
+		for _, stop := range effects.Stops {
+			repeated++
+			board.StopReplied(stop, NotSent, now)
+		}
+	}
+	assert.Positive(t, repeated)
+}
