Take an answer to a stop only from the incarnation that it was sent for

Change: a stop names the incarnation of its worker, and its answer counts only while that has not changed.

Evidence: TestStopAcceptedBeforeARestartBarsNothingAfterIt, which failed before; the tests of claims, stops, restarts and preemptions of the package pass.

--- a/internal/process/schedule/replies.go
+++ b/internal/process/schedule/replies.go
@@ -109,8 +109,8 @@
 		return
 	}
 	held := w.claims[stop.Key]
-	if held == nil || held.run != stop.Run {
-		return
+	if held == nil || held.run != stop.Run || !stop.Incarnation.Equal(w.incarnation) {
+		return // of a claim that has ended, or for the incarnation before
 	}
 	if verdict == Accepted {
 		held.barred = now
@@ -121,20 +121,21 @@
 
 // stop asks a worker to end a run, unless a stop is pending or was answered.
 func (b *Board) stop(id string, key work.TaskKey, run int64, reason string) {
+	next := Stop{
+		Worker: id,
+		Key:    key,
+		Run:    run,
+		Reason: reason,
+	}
 	if w := b.workers[id]; w != nil {
 		if held := w.claims[key]; held != nil && held.run == run {
 			if !held.stopping.IsZero() || !held.barred.IsZero() {
 				return
 			}
-			held.stopping = b.now
+			held.stopping, next.Incarnation = b.now, w.incarnation
 		}
 	}
-	b.effects.Stops = append(b.effects.Stops, Stop{
-		Worker: id,
-		Key:    key,
-		Run:    run,
-		Reason: reason,
-	})
+	b.effects.Stops = append(b.effects.Stops, next)
 }
 
 // ThrottleReplied applies the answer to a change of the throttle level.
