--- a/internal/process/quota/revise_test.go
+++ b/internal/process/quota/revise_test.go
@@ -11,10 +11,10 @@
 )
 
 // sharedBook returns the book of one of two shards and the first record.
-func sharedBook(t *testing.T, shard int, version int64, limit worker.Size) (*Book, *Account) {
+func sharedBook(t *testing.T, shard int, limit worker.Size) (*Book, *Account) {
 	t.Helper()
 	book := NewBook(shard, 2)
-	setSharedLimit(book, version, limit)
+	setSharedLimit(book, 1, limit)
 	require.False(t, book.Account("mill").Admits(cores(1)), "the record is not read")
 	return book, book.Account("mill")
 }
@@ -32,8 +32,8 @@
 // A part whose transfer got no answer counts as given away by the giver, and as
 // not received by the receiver, until the record is read back.
 func TestPartWithoutAnswerIsUsedByNobody(t *testing.T) {
-	giver, given := sharedBook(t, 0, 1, cores(10))
-	receiver, received := sharedBook(t, 1, 1, cores(10))
+	giver, given := sharedBook(t, 0, cores(10))
+	receiver, received := sharedBook(t, 1, cores(10))
 	giver.SetParts(Parts{})
 	first, changed := giver.Revise(nil, nil)
 	require.True(t, changed)
@@ -64,7 +64,7 @@
 // from before it: another shard may have raised its part. Found by
 // TestShardsStayWithinLimit with seed 4717320576600899569.
 func TestRecordOfEarlierVersionIsNotUsed(t *testing.T) {
-	book, account := sharedBook(t, 0, 1, cores(10))
+	book, account := sharedBook(t, 0, cores(10))
 	book.SetParts(Parts{})
 	first, _ := book.Revise(nil, nil)
 	book.SetParts(first)
@@ -83,7 +83,7 @@
 	waiting := map[string]worker.Size{"mill": cores(6)}
 	books, accounts := make([]*Book, 2), make([]*Account, 2)
 	for shard := range books {
-		books[shard], accounts[shard] = sharedBook(t, shard, 1, cores(10))
+		books[shard], accounts[shard] = sharedBook(t, shard, cores(10))
 		books[shard].SetParts(Parts{})
 	}
 	for range 100 {
--- a/internal/process/schedule/tickets.go
+++ b/internal/process/schedule/tickets.go
@@ -67,7 +67,8 @@
 }
 
 // divide returns the workers with a ticket for the step and, if none of them has
-// capacity for a task, or not all of them for a whole gang, those with capacity for which a ticket may be requested.
+// capacity for a task, or all of them too little for a gang, those with capacity for
+// which a ticket may be requested.
 func (b *Board) divide(step *stepState, pool []*workerState, now time.Time) (admitted, unknown []*workerState) {
 	hasCapacity := false
 	next := step.nextTask()
