Judge a crash by its rack before any lost worker is dropped

Callers see: a task that crashes its workers is started more often than needed.

Cause: lost workers were dropped one by one while the list was applied. Since a replaced worker is dropped at once, several of a rack are dropped in one pass, and the last of them found no survivor in its rack, so that its crash was not counted.

Change: the claims of all lost workers are released first; then they are dropped.

--- a/internal/process/schedule/unreachable_test.go
+++ b/internal/process/schedule/unreachable_test.go
@@ -94,7 +94,7 @@
 func TestRemovedWorkerThatIsListedAgainIsWaitedFor(t *testing.T) {
 	board := testBoard("w0", "w1")
 	listing := board.workers["w1"].Listing
-	board.remove(board.workers["w1"], testStart)
+	board.remove([]*workerState{board.workers["w1"]}, testStart)
 	waits, due := board.UnreachableWorkers(testStart)
 	require.True(t, due)
 	require.Zero(t, waits["w1"])
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -125,6 +125,7 @@
 		w.Listing = listing
 		w.listed, w.leftList = true, false
 	}
+	var gone []*workerState
 	for id, w := range b.workers {
 		if _, ok := listings[id]; ok {
 			continue
@@ -133,14 +134,12 @@
 			w.listed, w.unlistedSince = false, now
 		}
 		w.leftList = reliable
-		if b.hasLeft(w) || w.isReplaced(listings) {
-			b.remove(w, now)
-			continue
-		}
-		if now.After(w.leaseEnd) && now.Sub(w.unlistedSince) > b.config.ListGrace && !w.reachable {
-			b.remove(w, now)
+		expired := now.After(w.leaseEnd) && now.Sub(w.unlistedSince) > b.config.ListGrace && !w.reachable
+		if expired || b.hasLeft(w) || w.isReplaced(listings) {
+			gone = append(gone, w)
 		}
 	}
+	b.remove(gone, now)
 	b.resolveLost(now)
 }
 
@@ -252,17 +251,23 @@
 	}
 }
 
-// remove drops a worker whose runs are certainly over.
-func (b *Board) remove(w *workerState, now time.Time) {
-	b.releaseAll(w, now)
-	for key, held := range b.reservations {
-		if held.worker == w.ID {
-			b.unreserve(key)
+// remove drops workers whose runs are certainly over.
+func (b *Board) remove(gone []*workerState, now time.Time) {
+	for _, w := range gone {
+		// The other workers of its rack show whether the rack has failed with it: all
+		// are still there.
+		b.releaseAll(w, now)
+	}
+	for _, w := range gone {
+		for key, held := range b.reservations {
+			if held.worker == w.ID {
+				b.unreserve(key)
+			}
 		}
+		delete(b.workers, w.ID)
+		b.unreachable.removed[w.ID] = true
+		b.removedAt, b.confirmAfter = now, later(b.confirmAfter, now)
 	}
-	delete(b.workers, w.ID)
-	b.unreachable.removed[w.ID] = true
-	b.removedAt, b.confirmAfter = now, later(b.confirmAfter, now)
 }
 
 // MarkUnreachable records that a worker did not answer.
