Find the pool of a job once, and low utilization without a look-up

Cause: fillers looked up the utilization of their service for each worker, and each job its pool and its sizes that did not fit by a key with a string.

Change: both are skipped if no service has low utilization, and the pool of the job before is kept. Decisions are the same.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -79,8 +79,10 @@
 	// open holds the jobs that are not in a final state.
 	open    map[string]*job
 	workers map[string]*workerState
-	// utilization is by service, as of the last decision.
-	utilization map[string]*utilization
+	// utilization is by service, as of the last decision. anyLowUtilization is set if
+	// that of any service is low.
+	utilization       map[string]*utilization
+	anyLowUtilization bool
 	// cancelled holds jobs whose cancellation arrived before their record.
 	cancelled map[string]bool
 	// evacuated holds the withdrawn zones, which get no new tasks.
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -104,6 +104,9 @@
 
 // starving reports whether a job has had nothing running for too long.
 func (b *Board) starving(id string) bool {
+	if !b.anyLowUtilization {
+		return false // most decisions of a busy service end here, for each worker
+	}
 	j := b.open[id]
 	if j != nil && j.gangStarves {
 		return true
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -80,8 +80,10 @@
 		use.claimed += w.used.MilliCores
 		use.capacity += w.Capacity.MilliCores
 	}
+	b.anyLowUtilization = false
 	for _, use := range b.utilization {
 		use.low = ratio(use.claimed, use.capacity) < lowUtilizationBound
+		b.anyLowUtilization = b.anyLowUtilization || use.low
 	}
 }
 
--- a/internal/process/schedule/explainer.go
+++ b/internal/process/schedule/explainer.go
@@ -79,7 +79,7 @@
 
 func (e *explainer) requestOf(j *job, step *stepState, t *task) request {
 	return request{
-		pool:     e.board.poolOf(j, e.now),
+		pool:     e.board.poolOf(j, e.board.serviceOf(j), e.now),
 		size:     step.spec.Size,
 		label:    step.spec.Label,
 		image:    step.spec.Image,
--- a/internal/process/schedule/health.go
+++ b/internal/process/schedule/health.go
@@ -35,7 +35,7 @@
 // needsExcluded reports whether a quick job uses excluded workers too, as its last
 // choice.
 func (b *Board) needsExcluded(j *job, service string, now time.Time) bool {
-	if j.claims > 0 || now.Sub(j.idleSince) <= usesExcludedAfter {
+	if !b.anyLowUtilization || j.claims > 0 || now.Sub(j.idleSince) <= usesExcludedAfter {
 		return false
 	}
 	return b.hasLowUtilization(service)
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -17,20 +17,24 @@
 	}, now)
 	shortages := map[poolKey]*shortage{}
 	pools := map[poolKey][]*workerState{}
+	// Those of the job before: most jobs have the same pool.
+	var last poolKey
+	var pool []*workerState
+	var found *shortage
 	for _, j := range candidates {
 		if b.startsLeft <= 0 {
 			break
 		}
-		key := b.poolOf(j, now)
-		j.pool = key
-		if _, ok := pools[key]; !ok {
-			pools[key] = b.pool(key, now)
-		}
-		if shortages[key] == nil {
-			shortages[key] = newShortage()
+		j.pool = b.poolOf(j, j.rank.Service, now)
+		if found == nil || j.pool != last {
+			last = j.pool
+			if shortages[last] == nil {
+				pools[last], shortages[last] = b.pool(last, now), newShortage()
+			}
+			pool, found = pools[last], shortages[last]
 		}
-		if len(pools[key]) > 0 {
-			b.placeJob(j, pools[key], shortages[key], now)
+		if len(pool) > 0 {
+			b.placeJob(j, pool, found, now)
 		}
 	}
 	for key, found := range shortages {
@@ -49,9 +53,8 @@
 	excluded bool
 }
 
-// poolOf returns the key of the workers for a job.
-func (b *Board) poolOf(j *job, now time.Time) poolKey {
-	service := b.serviceOf(j)
+// poolOf returns the key of the workers for a job that its service runs.
+func (b *Board) poolOf(j *job, service string, now time.Time) poolKey {
 	return poolKey{
 		service:     service,
 		longRunning: j.work.LongRunning(),
--- a/internal/process/schedule/stepcause.go
+++ b/internal/process/schedule/stepcause.go
@@ -25,7 +25,7 @@
 	if step.waiting == 0 {
 		return out
 	}
-	out.pool = e.board.poolOf(j, e.now)
+	out.pool = e.board.poolOf(j, e.board.serviceOf(j), e.now)
 	out.view = e.poolView(out.pool)
 	out.common = out.commonCause()
 	return out
