Turn away the writes of the leader that is to hear nothing

The test refuses its renewals and watches while the store is down for it, and let its commits through. The write of the roster (0.1 s after the term began) came after the lead key was removed, so that a conflict told the leader what nothing was to tell it: 'leadership lapsed' and 'roster written ... condition not met' stand right before the panic.

--- a/internal/process/leader/compete_test.go
+++ b/internal/process/leader/compete_test.go
@@ -233,6 +233,13 @@
 		}
 		return changes, err
 	}
+	config.Store.Commit = func(ctx context.Context, commit store.Commit) (int64, error) {
+		revision, err := client.Commit(ctx, commit)
+		if down.Load() {
+			return 0, store.ErrUnavailable
+		}
+		return revision, err
+	}
 	config.Calls.Poll = func(ctx context.Context, _ Target, _ Poll) (schedule.Inventory, time.Duration, error) {
 		<-ctx.Done() // no worker tells it either
 		return schedule.Inventory{}, 0, ctx.Err()
