--- a/internal/process/schedule/health.go
+++ b/internal/process/schedule/health.go
@@ -28,7 +28,7 @@
 // excluded workers, while the utilization of its service is low. Load pattern: tasks
 // that fail by their own fault exclude all workers of a small service, or the only one
 // with a label, again and again. Users count a job as lost that has nothing running
-// for 3 s beside free capacity. Where the workers are at fault, a job so makes no more
+// for 3 s beside free capacity. Where the workers are at fault, a task so makes no more
 // than one attempt in this time.
 const usesExcludedAfter = 2 * time.Second
 
