Publish the free pieces of each shard

Cause: a shard's published load has the sum of its free cores, so that a leader cannot tell whether another shard has a worker on which a task of a given size and label fits. Change: field 8 of the load lists what is free on each of the up to 16 usable workers of a service with the most free cores, the largest first. No decision uses it yet.

--- a/internal/process/schedule/moves.go
+++ b/internal/process/schedule/moves.go
@@ -28,10 +28,12 @@
 // Loads returns the load of each service. Label lists are sorted.
 func (b *Board) Loads(now time.Time) map[string]shard.Load {
 	loads := map[string]shard.Load{}
+	usable := map[string][]*workerState{}
 	for _, w := range b.workers {
 		if !b.usable(w, now) {
 			continue
 		}
+		usable[w.Service] = append(usable[w.Service], w)
 		load := loads[w.Service]
 		load.Capacity += w.Capacity.MilliCores
 		load.Free += max(0, w.free().MilliCores)
@@ -55,6 +57,7 @@
 	}
 	for service, load := range loads {
 		slices.Sort(load.Labels)
+		load.Pieces = largestPieces(usable[service])
 		loads[service] = load
 	}
 	return loads
--- a/internal/process/shard/balance.go
+++ b/internal/process/shard/balance.go
@@ -14,6 +14,9 @@
 	WaitingFillers int64 `cbor:"5,keyasint,omitempty"`
 	// Labels are those of its workers.
 	Labels []string `cbor:"6,keyasint,omitempty"`
+	// Pieces are those of the usable workers with the most free cores, the largest
+	// first, up to MaxPieces.
+	Pieces []Piece `cbor:"8,keyasint,omitempty"`
 }
 
 // demand is the part of the capacity that is in use or asked for.
