Transfer long-running tasks that are down to shards with room

Cause: a job never leaves its shard once a task of it has been started. In a shard that is full of long-running work a task that fails has nowhere to go.

Change: a long-running task that has waited a second and fits on no worker of its shard goes to a shard that publishes a free piece for it, by one commit that creates its record there and its location here. It is conditional on the leadership, the job's record and there being no cancellation, and a task leaves only when it could be started here, so that it runs in one place. The job stays, and passes its end on in the commit that saves it. A task that is down in its new shard beside room elsewhere is returned, and taken back by a commit that saves its newest checkpoint. Run numbers rise across shards.

Ruled out: moving the whole job, which would stop its other tasks; lending workers, of which none is free of long-running tasks in a fleet that is 90 % booked; starting it from its own shard, whose tokens the workers refuse.

--- a/internal/process/leader/acquisition.go
+++ b/internal/process/leader/acquisition.go
@@ -61,8 +61,11 @@
 	createRevisions map[string]int64
 	progress        map[string]*work.Progress
 	cancels         []string
-	roster          []schedule.Listing
-	learned         schedule.Learned
+	// transferred and locations hold the transferred tasks by key.
+	transferred map[string]storedTask
+	locations   map[string]storedLocation
+	roster      []schedule.Listing
+	learned     schedule.Learned
 	// sequence is the revision of keySequence, which orders commits.
 	sequence int64
 	// revision is the store revision at which the work was listed.
@@ -286,6 +289,7 @@
 	}
 	result.revision = listing.Revision
 	result.jobs, result.cancels, result.createRevisions = nil, nil, map[string]int64{}
+	result.transferred, result.locations = map[string]storedTask{}, map[string]storedLocation{}
 	for _, item := range listing.Items {
 		result.addItem(keys, item)
 	}
@@ -368,15 +372,24 @@
 	}
 }
 
-// addItem adds the job or cancellation that an item holds; other items are
-// ignored.
+// addItem adds what an item holds; other items are ignored.
 func (r *acquisitionResult) addItem(keys *Keys, item store.Item) {
-	job, cancelled := keys.decodeItem(item)
+	found := keys.decodeItem(item)
 	switch {
-	case cancelled != "":
-		r.cancels = append(r.cancels, cancelled)
-	case job != nil:
-		r.jobs = append(r.jobs, job)
-		r.createRevisions[job.ID] = item.CreateRevision
+	case found.cancelled != "":
+		r.cancels = append(r.cancels, found.cancelled)
+	case found.job != nil:
+		r.jobs = append(r.jobs, found.job)
+		r.createRevisions[found.job.ID] = item.CreateRevision
+	case found.transferred != nil:
+		r.transferred[item.Key] = storedTask{
+			task:     found.transferred,
+			revision: item.Revision,
+		}
+	case found.location != nil:
+		r.locations[item.Key] = storedLocation{
+			location: found.location,
+			revision: item.Revision,
+		}
 	}
 }
--- a/internal/process/leader/keys.go
+++ b/internal/process/leader/keys.go
@@ -24,6 +24,10 @@
 	prefixQuota      = prefixRoot + "quota/"
 	keyQuotaParts    = prefixQuota + "parts"
 	prefixQuotaWants = prefixQuota + "wants/"
+	// prefixTransferred and prefixLocation hold, under the work prefix of a shard, the
+	// tasks that were transferred to it, and where its own are that were transferred.
+	prefixTransferred = "transferred/"
+	prefixLocation    = "location/"
 )
 
 // Keys are the store keys of one shard.
@@ -105,25 +109,49 @@
 	return k.work + "cancel/" + id
 }
 
+// Transferred returns the key of a task that another shard has transferred to this one.
+func (k Keys) Transferred(task work.TaskKey) string {
+	return k.work + prefixTransferred + task.String()
+}
+
+// Location returns the key that says where a task of a job of this shard is if it was
+// transferred.
+func (k Keys) Location(task work.TaskKey) string {
+	return k.work + prefixLocation + task.String()
+}
+
 // MovedKey returns the key that holds the shard of a job which has moved.
 func MovedKey(id string) string {
 	return prefixMoved + id
 }
 
-// decodeItem decodes an item under the work prefix: it returns a job, the id of
-// a cancelled job, or neither. A job record that cannot be decoded is logged and
-// ignored.
-func (k Keys) decodeItem(item store.Item) (job *work.Job, cancelled string) {
-	if id, ok := strings.CutPrefix(item.Key, k.Cancel("")); ok {
-		return nil, id
-	}
-	if !strings.HasPrefix(item.Key, k.Job("")) {
-		return nil, ""
+// workItem is what an item under the work prefix holds: one of its fields is set, or
+// none.
+type workItem struct {
+	job         *work.Job
+	cancelled   string
+	transferred *work.TransferredTask
+	location    *work.Location
+}
+
+// decodeItem decodes an item under the work prefix. A record that cannot be decoded is
+// logged and ignored.
+func (k Keys) decodeItem(item store.Item) workItem {
+	out := workItem{}
+	var err error
+	switch {
+	case strings.HasPrefix(item.Key, k.Cancel("")):
+		out.cancelled = strings.TrimPrefix(item.Key, k.Cancel(""))
+	case strings.HasPrefix(item.Key, k.Job("")):
+		out.job, err = work.DecodeJob(item.Value)
+	case strings.HasPrefix(item.Key, k.work+prefixTransferred):
+		out.transferred, err = work.DecodeTransferred(item.Value)
+	case strings.HasPrefix(item.Key, k.work+prefixLocation):
+		out.location, err = work.DecodeLocation(item.Value)
 	}
-	job, err := work.DecodeJob(item.Value)
 	if err != nil {
-		klog.ErrorS(err, "job record cannot be read", "key", item.Key, "revision", item.Revision)
-		return nil, ""
+		klog.ErrorS(err, "work record cannot be read", "key", item.Key, "revision", item.Revision)
+		return workItem{}
 	}
-	return job, ""
+	return out
 }
--- a/internal/process/leader/moves.go
+++ b/internal/process/leader/moves.go
@@ -47,6 +47,8 @@
 	m.balancedAt = now
 	own := m.term.leader.board.Loads(now)
 	m.publish(own)
+	loads := m.byService(own, now)
+	m.term.transfers.balance(loads, now)
 	if len(m.unsettled) > 0 {
 		m.probe()
 		return
@@ -54,7 +56,7 @@
 	if !now.Before(m.term.actUntil) {
 		return
 	}
-	m.send(m.term.leader.board.Moves(config.Shard, m.byService(own, now), now))
+	m.send(m.term.leader.board.Moves(config.Shard, loads, now))
 }
 
 // send commits the moves, a few jobs a commit.
--- a/internal/process/leader/moves_test.go
+++ b/internal/process/leader/moves_test.go
@@ -32,11 +32,16 @@
 
 // relabel gives a worker another label.
 func (s *site) relabel(id, label string) {
+	s.changeListing(id, func(listing *schedule.Listing) { listing.Labels = []string{label} })
+}
+
+// changeListing changes the entry of a worker.
+func (s *site) changeListing(id string, change func(listing *schedule.Listing)) {
 	item, err := s.store.Client().Get(s.t.Context(), "workers/"+id)
 	require.NoError(s.t, err)
 	var listing schedule.Listing
 	require.NoError(s.t, cbor.Unmarshal(item.Value, &listing))
-	listing.Labels = []string{label}
+	change(&listing)
 	value, err := cbor.Marshal(listing)
 	require.NoError(s.t, err)
 	s.put(item.Key, value)
--- a/internal/process/leader/observe.go
+++ b/internal/process/leader/observe.go
@@ -8,6 +8,7 @@
 
 	"mustardreach.example/mustardreach/internal/process/schedule"
 	"mustardreach.example/mustardreach/internal/process/store"
+	"mustardreach.example/mustardreach/internal/request/work"
 )
 
 // watchStore watches the jobs, from a revision on, and the list of workers.
@@ -98,15 +99,21 @@
 }
 
 func (t *term) observeItem(item store.Item, now time.Time) {
-	job, cancelled := t.keys().decodeItem(item)
-	if cancelled != "" {
-		klog.InfoS("job cancelled", "job", cancelled, "revision", item.Revision)
-		t.leader.board.Cancel(cancelled, now)
-		return
-	}
-	if job == nil {
-		return
+	found := t.keys().decodeItem(item)
+	switch {
+	case found.cancelled != "":
+		klog.InfoS("job cancelled", "job", found.cancelled, "revision", item.Revision)
+		t.leader.board.Cancel(found.cancelled, now)
+	case found.job != nil:
+		t.observeJob(found.job, item, now)
+	case found.transferred != nil:
+		t.transfers.observeTransferred(found.transferred, item, now)
+	case found.location != nil:
+		t.transfers.observeLocation(found.location, item, now)
 	}
+}
+
+func (t *term) observeJob(job *work.Job, item store.Item, now time.Time) {
 	if t.removed.covers(job.ID, item.Revision) {
 		return
 	}
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -139,6 +139,11 @@
 			Key:   t.keys().State(records[i].Job),
 			Value: value,
 		})
+		for _, number := range records[i].Shards {
+			commit.Set = append(commit.Set, store.Write{
+				Key: KeysOf(number, t.leader.config.Shards).Cancel(records[i].Job),
+			})
+		}
 	}
 	t.savingProgress, t.progressSavedAt = true, now
 	t.writer.add(&pendingCommit{
@@ -185,9 +190,13 @@
 	t.removed.prune(now)
 	for _, id := range ids {
 		t.removed.add(id, t.moves.revisions[id], now)
-		delete(t.moves.revisions, id)
 		t.owners.remove(id)
-		commit.Delete = append(commit.Delete, t.keys().Job(id), t.keys().Cancel(id), t.keys().State(id), MovedKey(id))
+		t.transfers.deleteOf(id, now)
+		commit.Delete = append(commit.Delete, t.keys().Job(id), t.keys().Cancel(id), t.keys().State(id))
+		if t.moves.revisions[id] != 0 {
+			commit.Delete = append(commit.Delete, MovedKey(id)) // of a job of another shard it is in use
+		}
+		delete(t.moves.revisions, id)
 	}
 	t.writer.add(&pendingCommit{
 		commit: commit,
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -64,6 +64,7 @@
 	followedWaits followedWaits
 	waking        bool
 	moves         moves
+	transfers     transfers
 	quotas        quotas
 	removed       removedJobs
 	owners        owners
@@ -112,6 +113,8 @@
 		inherited := result.createRevisions[job.ID] < result.token
 		l.board.AddJob(job, result.progress[job.ID], inherited, now, l.config.TimeOfDay())
 	}
+	t.transfers = newTransfers(t)
+	t.transfers.restore(result, now)
 	if result.placements {
 		l.board.TrustPlacements()
 		t.placements.complete = true
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -123,6 +123,8 @@
 	unreachable     unreachable
 	// placement decides on waits for preferred racks.
 	placement *placement
+	// sentPieces are the transfers that the loads of other shards may not show yet.
+	sentPieces []sentPiece
 }
 
 // NewBoard returns an empty board.
@@ -228,11 +230,24 @@
 
 // nextRun returns the number of a start; numbers rise from term to term.
 func (b *Board) nextRun() int64 {
-	const runsPerToken = 1 << 20 // starts per term; all numbers stay far below 2^53
 	b.runs++
+	return b.newestRun()
+}
+
+// runsPerToken is the most starts of a term. All numbers stay far below 2^53.
+const runsPerToken = 1 << 20
+
+// newestRun returns the number of the newest start.
+func (b *Board) newestRun() int64 {
 	return b.token*runsPerToken + b.runs
 }
 
+// nextRunOf returns the number of a start of a task. Another shard that started it
+// before may have a higher token.
+func (b *Board) nextRunOf(t *task) int64 {
+	return max(b.nextRun(), t.run+1, t.lastRun+1)
+}
+
 // serviceOf returns the service that runs the job's queue now.
 func (b *Board) serviceOf(j *job) string {
 	if queue, ok := b.catalog.Queues[j.work.Queue]; ok {
@@ -250,6 +265,11 @@
 	return j.attempts
 }
 
+// IsOpen reports whether a job is known and not in a final state.
+func (b *Board) IsOpen(id string) bool {
+	return b.open[id] != nil
+}
+
 // Pending counts the accepted jobs of a queue of which no task has started.
 func (b *Board) Pending(queue string) int {
 	count := 0
--- a/internal/process/schedule/crashes.go
+++ b/internal/process/schedule/crashes.go
@@ -181,7 +181,7 @@
 	}
 	for _, suspect := range suspects {
 		j, t := b.openTask(suspect.key)
-		if t == nil || t.phase == done || slices.Contains(t.crashes, suspect.run) {
+		if t == nil || t.phase == done || t.phase == elsewhere || slices.Contains(t.crashes, suspect.run) {
 			continue
 		}
 		t.crashes = append(t.crashes, suspect.run)
@@ -199,7 +199,7 @@
 		limit = maxDoubtfulCrashes
 	}
 	for _, key := range crash.Suspects {
-		if j, t := b.openTask(key); t != nil && len(t.crashes) == crash.Most && crash.Most >= limit {
+		if j, t := b.openTask(key); t != nil && !j.partial && len(t.crashes) == crash.Most && crash.Most >= limit {
 			crash.GivenUp = append(crash.GivenUp, key)
 			b.end(j, work.Failed, now)
 		}
@@ -234,7 +234,7 @@
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
 			for _, t := range step.tasks {
-				if t.phase == waiting && len(t.crashes) >= maxDoubtfulCrashes {
+				if t.phase == waiting && !j.partial && len(t.crashes) >= maxDoubtfulCrashes {
 					b.effects.Crashes = append(b.effects.Crashes, Crash{
 						GivenUp: []work.TaskKey{t.key},
 					})
--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -91,7 +91,7 @@
 		}
 		w := b.workers[held.worker]
 		if w != nil && slices.Contains(pool, w) && j.account.Admits(step.spec.Size) && held.size.FitsIn(w.Capacity.Sub(w.used)) && b.eligible(w, step, t) {
-			b.start(w, j, step, t, b.nextRun(), now)
+			b.start(w, j, step, t, b.nextRunOf(t), now)
 		}
 	}
 }
--- a/internal/process/schedule/handover.go
+++ b/internal/process/schedule/handover.go
@@ -62,13 +62,13 @@
 	return out
 }
 
-// openTasks returns the tasks that are not done.
+// openTasks returns the tasks of this shard that are not done.
 func (j *job) openTasks() []*task {
 	var out []*task
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
 			for _, t := range step.tasks {
-				if t.phase != done {
+				if t.phase != done && t.phase != elsewhere {
 					out = append(out, t)
 				}
 			}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -19,6 +19,8 @@
 	claimed
 	// done tasks never start again.
 	done
+	// elsewhere tasks belong to another shard, whose leader alone starts them.
+	elsewhere
 )
 
 // task is one task of one occurrence.
@@ -61,6 +63,14 @@
 	// never started.
 	located     bool
 	lastWorkers []string
+	// departing is set while the task is on its way to another shard, and arrivedAt is
+	// when it last came from one.
+	departing bool
+	arrivedAt time.Time
+	// shard is the one of a task that is elsewhere.
+	shard int
+	// lastRun is no lower than the number of any run that another shard has started.
+	lastRun int64
 	// orphanedOn lists workers with orphaned runs of the task, which may have ended.
 	// While one has not, the task does not start: a worker has one claim of a task.
 	orphanedOn []string
@@ -110,6 +120,13 @@
 	fromEarlierTerm, everClaimed, departing bool
 	// balanced is set once a round of moves has left the job here.
 	balanced bool
+	// partial is set if only transferred tasks of the job are here, and home is the
+	// shard of its record then: its state is decided there.
+	partial bool
+	home    int
+	// transfers counts the commits in flight that transfer or take back tasks of the
+	// job. Its record is not written meanwhile by any other commit.
+	transfers int
 	// hasLocated is set if one of its tasks is located.
 	hasLocated bool
 	// seen is when the job was added here.
@@ -162,26 +179,8 @@
 	}
 	const maxAge = time.Minute // limits the effect of a jump of the wall clock
 	age := min(max(0, timeOfDay.Sub(spec.Accepted)), maxAge)
-	j := &job{
-		work:       spec,
-		arrived:    now.Add(-age),
-		seen:       now,
-		ageBounded: age == maxAge,
-		rank: rank.Candidate{
-			ID:          spec.ID,
-			LongRunning: spec.LongRunning(),
-		},
-	}
-	if inherited {
-		j.inherited, j.fromEarlierTerm = b.token, true
-	}
-	if queue, ok := b.catalog.Queues[spec.Queue]; ok {
-		j.attempts, j.priority = queue.MaxAttempts, queue.Priority
-	}
-	j.rank.Priority = j.priority
-	j.stale = true
-	j.idleSince = now
-	j.build(now, timeOfDay)
+	j := b.newJob(spec, inherited, now.Add(-age), now, timeOfDay)
+	j.ageBounded = age == maxAge
 	if progress != nil {
 		j.restore(progress)
 	}
@@ -200,6 +199,30 @@
 	}
 }
 
+// newJob returns a job whose tasks all wait.
+func (b *Board) newJob(spec *work.Job, inherited bool, arrived, now, timeOfDay time.Time) *job {
+	j := &job{
+		work:    spec,
+		arrived: arrived,
+		seen:    now,
+		rank: rank.Candidate{
+			ID:          spec.ID,
+			LongRunning: spec.LongRunning(),
+		},
+		stale:     true,
+		idleSince: now,
+	}
+	if inherited {
+		j.inherited, j.fromEarlierTerm = b.token, true
+	}
+	if queue, ok := b.catalog.Queues[spec.Queue]; ok {
+		j.attempts, j.priority = queue.MaxAttempts, queue.Priority
+	}
+	j.rank.Priority = j.priority
+	j.build(now, timeOfDay)
+	return j
+}
+
 func (j *job) build(now, timeOfDay time.Time) {
 	for k := range j.work.Occurrences() {
 		occ := &occurrence{
@@ -242,12 +265,7 @@
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
 			for _, t := range step.tasks {
-				t.failures = slices.Clone(progress.Failures[number])
-				t.checkpoint = progress.SavedCheckpoints[number]
-				if placement, ok := progress.Placements[number]; ok {
-					t.lastWorkers = []string{placement}
-				}
-				t.crashes = slices.Clone(progress.Crashes[number])
+				t.restore(progress, number)
 				if number/8 < len(progress.Done) && progress.Done[number/8]&(1<<(number%8)) != 0 {
 					j.finish(occ, step, t)
 				}
@@ -257,6 +275,36 @@
 	}
 }
 
+// restore applies what a progress record has of the task with a number.
+func (t *task) restore(progress *work.Progress, number int) {
+	if failures, ok := progress.Failures[number]; ok {
+		t.failures = slices.Clone(failures)
+	}
+	if checkpoint, ok := progress.SavedCheckpoints[number]; ok {
+		t.checkpoint = checkpoint
+	}
+	if placement, ok := progress.Placements[number]; ok {
+		t.lastWorkers = []string{placement}
+	}
+	if crashes, ok := progress.Crashes[number]; ok {
+		t.crashes = slices.Clone(crashes)
+	}
+}
+
+// number returns the number of a task in the job's progress record.
+func (j *job) number(key work.TaskKey) int {
+	number := 0
+	for o, occ := range j.occurrences {
+		for s, step := range occ.steps {
+			if o == key.Occurrence && s == key.Step {
+				return number + key.Index
+			}
+			number += len(step.tasks)
+		}
+	}
+	return number
+}
+
 // finish marks a task as done; it must not have a claim.
 func (j *job) finish(occ *occurrence, step *stepState, t *task) {
 	if t.phase == waiting {
@@ -286,9 +334,12 @@
 				if number%8 == 0 {
 					bits = append(bits, 0)
 				}
-				if t.phase == done {
+				switch t.phase {
+				case done:
 					bits[number/8] |= 1 << (number % 8)
-				} else {
+				case elsewhere:
+					// The record is in the other shard.
+				default:
 					t.save(&out, number, step.spec)
 				}
 				number++
--- a/internal/process/schedule/orders.go
+++ b/internal/process/schedule/orders.go
@@ -47,6 +47,9 @@
 	// Urgent records end a job: its caller waits for them.
 	Urgent   bool
 	Progress work.Progress
+	// Shards are the other shards with tasks of a job that has ended. They must hear
+	// of it by the same commit.
+	Shards []int
 }
 
 // Effects are the orders and ticket requests that a decision results in, and
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -169,7 +169,7 @@
 		case w != nil && preferred.waits(t, w):
 		case w != nil:
 			b.order.Started(&j.rank, b.taskWork(j, step.spec), now)
-			b.start(w, j, step, t, b.nextRun(), now)
+			b.start(w, j, step, t, b.nextRunOf(t), now)
 		case urgent:
 			shortages.lacking = true
 			b.reserve(j, step, t, pool, now)
@@ -222,7 +222,10 @@
 
 // taskReason returns why a waiting task is not placed, apart from capacity.
 func (b *Board) taskReason(j *job, t *task, now time.Time) Reason {
-	if now.Before(t.notBefore) {
+	switch {
+	case t.departing || t.mustReturn(j):
+		return Departing
+	case now.Before(t.notBefore):
 		return RetryPause
 	}
 	return b.doubt(j, t)
--- a/internal/process/schedule/records.go
+++ b/internal/process/schedule/records.go
@@ -18,14 +18,16 @@
 	var out []Record
 	for _, id := range ids {
 		j := b.unsaved[id]
-		if len(out) == limit || len(out) == 0 && j.urgency() == 0 && !all {
+		shards := j.cancelledShards()
+		if len(out) > 0 && limit < 1+len(shards) || len(out) == 0 && j.urgency() == 0 && !all {
 			return out
 		}
-		if j.writeAfter.After(b.now) || j.writeAlone && len(out) > 0 {
+		if j.writeAfter.After(b.now) || j.writeAlone && len(out) > 0 || j.transfers > 0 && !j.progress.State.Final() {
 			continue
 		}
+		limit -= 1 + len(shards)
 		if j.writeAlone {
-			limit = 1
+			limit = 0
 		}
 		j.sent = j.version
 		delete(b.unsaved, id)
@@ -34,6 +36,7 @@
 			Version:  j.version,
 			Urgent:   j.progress.State.Final(),
 			Progress: j.snapshot(),
+			Shards:   shards,
 		})
 	}
 	return out
--- /dev/null
+++ b/internal/process/schedule/transfer_test.go
@@ -0,0 +1,217 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// running returns a step of long-running tasks.
+func running(count int, milliCores int64) work.Step {
+	step := tasks(count, milliCores)
+	step.LongRunning = true
+	return step
+}
+
+// downBoard returns a board with one worker of 8 cores, where the only task of job "a"
+// has been down since testStart and another job has taken its capacity.
+func downBoard(t *testing.T) *Board {
+	t.Helper()
+	board := testBoard("w0")
+	board.AddJob(testJob("a", "quotes", running(1, 4000)), nil, false, testStart, testStart)
+	accept(board, decideAndSave(board, testStart), testStart)
+	w := board.workers["w0"]
+	require.Len(t, w.claims, 1, "the task runs")
+	board.release(w, firstTask("a"), testStart)
+	w.Draining = true
+	return board
+}
+
+// transfersOf returns what the first board transfers, by task.
+func transfersOf(now time.Time, boards ...*Board) []Transfer {
+	return boards[0].Transfers(0, loadsOf(now, boards...), now)
+}
+
+// A long-running task that is down leaves for a shard that has room, and no other does:
+// one that leaves although it may run here gains nothing, and one that may have a run
+// would run twice.
+func TestOnlyTasksThatAreDownWithoutRoomAreTransferred(t *testing.T) {
+	later := testStart.Add(2 * transferAfter)
+	tests := map[string]struct {
+		prepare func(board *Board)
+		at      time.Time
+		want    int
+	}{
+		"has no room here": {
+			at:   later,
+			want: 1,
+		},
+		"has just ended": {
+			at: testStart.Add(transferAfter / 2),
+		},
+		"has room here": {
+			prepare: func(board *Board) { board.workers["w0"].Draining = false },
+			at:      later,
+		},
+		"is cancelled": {
+			prepare: func(board *Board) { board.Cancel("a", testStart) },
+			at:      later,
+		},
+		"may not start before a confirmation": {
+			prepare: func(board *Board) {
+				_, _, t := board.jobs["a"].find(firstTask("a"))
+				t.confirmAfter = later
+			},
+			at: later,
+		},
+		"may run on a worker that is not accounted for": {
+			prepare: func(board *Board) {
+				addUnreachable(board, "w9")
+				_, _, t := board.jobs["a"].find(firstTask("a"))
+				board.jobs["a"].inherited, t.located, t.lastWorkers = board.token, true, []string{"w9"}
+			},
+			at: later,
+		},
+		"is on its way already": {
+			prepare: func(board *Board) {
+				require.Len(t, transfersOf(later, board, testBoard("w1")), 1)
+			},
+			at: later.Add(transferAfter),
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := downBoard(t)
+			if tt.prepare != nil {
+				tt.prepare(board)
+			}
+			assert.Len(t, transfersOf(tt.at, board, testBoard("w1")), tt.want)
+		})
+	}
+}
+
+// A task goes only where a single worker has room for it: it would be down there too
+// beside free capacity in pieces.
+func TestTaskIsTransferredToAWholePiece(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	pieces, whole := testBoard("w1", "w2"), testBoard("w3")
+	pieces.AddJob(testJob("b", "quotes", running(2, 5000)), nil, false, testStart, testStart)
+	accept(pieces, decideAndSave(pieces, testStart), testStart)
+	transfers := transfersOf(now, downBoard(t), pieces, whole)
+	require.Len(t, transfers, 1)
+	assert.Equal(t, 2, transfers[0].To)
+}
+
+// Transfers of two rounds do not claim the same piece: loads are published twice a
+// second.
+func TestTransfersCountWhatIsOnItsWay(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	board, other := testBoard("w0", "w1"), testBoard("w2")
+	for _, id := range []string{"a", "b"} {
+		board.AddJob(testJob(id, "quotes", running(1, 5000)), nil, false, testStart, testStart)
+	}
+	accept(board, decideAndSave(board, testStart), testStart)
+	for _, w := range board.workers {
+		for key := range w.claims {
+			board.release(w, key, testStart)
+		}
+		w.Draining = true
+	}
+	loads := loadsOf(now, board, other)
+	assert.Len(t, board.Transfers(0, loads, now), 1)
+	assert.Empty(t, board.Transfers(0, loads, now.Add(time.Second/2)))
+}
+
+// transferred moves the task that is down from the first board to the second.
+func transferred(t *testing.T, from, to *Board, now time.Time) Transfer {
+	t.Helper()
+	transfers := transfersOf(now, from, to)
+	require.Len(t, transfers, 1)
+	from.TransferDone(transfers[0])
+	to.AddTransferred(&transfers[0].Task, nil, false, now, now)
+	return transfers[0]
+}
+
+// The new shard starts the task with a run number above those of the shard before, whose
+// token may be higher: a worker refuses runs that do not rise.
+func TestRunNumbersOfATransferredTaskRise(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	from, to := downBoard(t), testBoard("w1")
+	from.token = to.token + 1000
+	from.workers["w0"].reportedToken = from.token
+	last := from.newestRun()
+	transferred(t, from, to, now)
+	starts := decideAndSave(to, now).Starts
+	require.Len(t, starts, 1)
+	assert.Greater(t, starts[0].Run, last)
+	assert.Empty(t, decideAndSave(from, now).Starts, "the task is started in both shards")
+}
+
+// The end of a job reaches the shards that have its tasks, by the commit that saves it.
+func TestEndOfAJobNamesTheShardsOfItsTasks(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	from, to := downBoard(t), testBoard("w1")
+	transferred(t, from, to, now)
+	from.Cancel("a", now)
+	records := from.Records(false, 10)
+	require.Len(t, records, 1)
+	assert.Equal(t, []int{1}, records[0].Shards)
+	accept(to, decideAndSave(to, now), now)
+	to.Cancel("a", now)
+	assert.Len(t, to.Decide(now, true).Stops, 1)
+}
+
+// A successor in either shard finds the task where it was transferred to, and no other.
+func TestSuccessorsFindATransferredTask(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	from, to := downBoard(t), testBoard("w1")
+	transfer := transferred(t, from, to, now)
+	accept(to, to.Decide(now, true), now)
+	records := save(to)
+	require.Len(t, records, 1, "the placement is saved before the start")
+
+	home := testBoard("w0")
+	home.AddJob(transfer.Task.Job, &transfer.Progress, true, now, now)
+	home.Locate(&work.Location{
+		Key:   firstTask("a"),
+		Shard: 1,
+	})
+	home.TrustPlacements()
+	assert.Empty(t, home.Decide(now.Add(time.Second), true).Starts, "the task of the other shard is started here")
+
+	successor := testBoard("w2")
+	addUnreachable(successor, "w1")
+	successor.AddTransferred(&transfer.Task, &records[0].Progress, true, now, now)
+	successor.TrustPlacements()
+	assert.Empty(t, successor.Decide(now.Add(time.Second), true).Starts, "the task may run on the worker of its placement")
+	poll(successor, "w1", now.Add(time.Second))
+	assert.Len(t, decideAndSave(successor, now.Add(time.Second)).Starts, 1)
+}
+
+// A task that may have crashed three workers goes back: only the shard of its job ends
+// the job.
+func TestTransferredTaskThatCrashesWorkersGoesBack(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	from, to := downBoard(t), testBoard("w1")
+	transferred(t, from, to, now)
+	_, _, task := to.jobs["a"].find(firstTask("a"))
+	task.crashes = []int64{1, 2, 3}
+	assert.Empty(t, decideAndSave(to, now).Starts)
+	transfers := to.Transfers(1, loadsOf(now, from, to), now)
+	require.Len(t, transfers, 1)
+	assert.True(t, transfers[0].Returns())
+	assert.True(t, transfers[0].Last)
+	to.TransferDone(transfers[0])
+	assert.Empty(t, to.jobs)
+	returned, ok := from.Returning(&work.Location{
+		Key:     firstTask("a"),
+		Crashes: transfers[0].Task.Crashes,
+	}, now)
+	require.True(t, ok)
+	from.TakenBack(returned, true, now)
+	assert.False(t, from.IsOpen("a"), "the job goes on with a task that crashes its workers")
+}
--- a/internal/process/schedule/waiting.go
+++ b/internal/process/schedule/waiting.go
@@ -112,7 +112,7 @@
 	placing := newStepCause(e, j, step)
 	waits := false
 	for _, t := range step.tasks {
-		if t.phase == done {
+		if t.phase == done || t.phase == elsewhere {
 			continue
 		}
 		var next cause
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -93,6 +93,16 @@
 	return fmt.Sprintf("condition not met, %d keys read", len(e.Items))
 }
 
+// RevisionOf returns the revision of a key in If, zero if it is absent.
+func (e *ConflictError) RevisionOf(key string) int64 {
+	for _, item := range e.Items {
+		if item.Key == key {
+			return item.Revision
+		}
+	}
+	return 0
+}
+
 // Client is the set of store calls. All functions are safe for concurrent use,
 // return when their context ends at the latest, and return the errors of this
 // package.
