Try first the task of a step that has been down for long

Callers see: a long-running task waits beside capacity that is kept for others for up to 11.9 s, though it may use that capacity after 6 s (takesReservedAfter).

Cause: the first task of a step that does not fit ends the search for the step. One that ended a moment ago and may not use reserved capacity does not fit, and the one behind it, which may, is not tried until the first is down for 6 s too.

Evidence: TestTaskThatHasJustEndedDoesNotHoldBackOneThatIsDown: 11.9 s before (bound 9 s), passes now.

Change: tasks that have been down for long go first in their step, the longest first. If that one does not fit, none of the others does, so that nothing more is searched. A preempted task keeps its place: its capacity is returned to it after 4 s.

Ruled out: the same order for preempted tasks too.

--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -113,7 +113,7 @@
 	if t.phase == waiting {
 		step.waiting--
 	}
-	t.phase, t.worker, t.run = claimed, w.ID, run
+	t.phase, t.worker, t.run, t.startedAt = claimed, w.ID, run, now
 	j.everClaimed = true
 	j.claims++
 	return held
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -47,8 +47,8 @@
 	notBefore time.Time
 	// stalls counts the runs that have stalled.
 	stalls int
-	// endedAt is when the last run ended.
-	endedAt time.Time
+	// startedAt is when the last run got its claim, and endedAt when it ended.
+	startedAt, endedAt time.Time
 	// confirmAfter is that of the worker of the last run when it ended. The worker
 	// may have told a successor before how the run ended, so that the next start
 	// needs a later confirmation of the leadership.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -157,7 +157,7 @@
 	if preferred.groupWaits() {
 		return
 	}
-	for _, t := range step.tasks {
+	for _, t := range b.placingOrder(step, now) {
 		if b.startsLeft <= 0 || !j.admits(step) {
 			return
 		}
@@ -184,6 +184,32 @@
 	}
 }
 
+// placingOrder returns the tasks of a step in the order in which they are placed.
+// Tasks that have been down for long go first: they may use capacity into which the
+// others do not fit, and a task that does not fit ends the search for its step.
+// Preempted tasks keep their place, as their capacity is returned to them.
+func (b *Board) placingOrder(step *stepState, now time.Time) []*task {
+	first := func(t *task) bool {
+		return t.phase == waiting && !t.wasPreempted() && b.longDown(step, t, now)
+	}
+	if !step.spec.LongRunning || !slices.ContainsFunc(step.tasks, first) {
+		return step.tasks
+	}
+	out := slices.Clone(step.tasks)
+	slices.SortStableFunc(out, func(a, c *task) int {
+		switch {
+		case first(a) && first(c):
+			return a.endedAt.Compare(c.endedAt)
+		case first(a):
+			return -1
+		case first(c):
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
 // candidate returns the worker that the task would run on now, nil if there is none.
 func (b *Board) candidate(preferred *preference, step *stepState, t *task, pool []*workerState) *workerState {
 	if w := preferred.declinedBefore(t); w != nil {
