Move inherited jobs of which nothing was ever started

Cause: a job that was accepted in an earlier term never moved and did not wait for a round of moves. When the leaders of all shards resigned while some 400 long-running jobs arrived, what their successors inherited stayed where the hash had put it.

Change: an inherited job moves, and waits for a round of moves, if it has no progress record and if all its tasks are known to be on no worker: by the records of placements for long-running tasks, or by a handover that does not name them. The start of a long-running task is sent only after a commit of its placement under the lead key, so that an earlier leader that still acts can start none of them; a quick task needs a handover, whose leader acts no more. A job with any record stays, also where the handover clears its last workers.

Measured: TestOnlyUntouchedJobsMove (two of eight new cases), TestInheritedLongRunningJobsWaitForMoves, TestInheritedJobMovesAndRunsOnce (four cases) and TestNoMovedJobRunsTwice fail without the change. Seeded mistakes: without the check of located tasks, and without that of last workers, the random test finds a job that moves while it runs; without the check of the record, the table finds a job that was placed.

Ruled out: inherited jobs whose workers have all reported. A quick task may have been started and stopped there; it may start in its own shard, where its state is known.

--- a/internal/process/leader/moves_test.go
+++ b/internal/process/leader/moves_test.go
@@ -148,6 +148,51 @@
 	}
 }
 
+// A job that its leader accepted and did not start moves after a resignation, is in
+// one shard at any time and runs once, whatever becomes of the commit that moves it.
+func TestInheritedJobMovesAndRunsOnce(t *testing.T) {
+	for name, fault := range moveFaults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			first := s.startGroup(t.Context(), "recife-1", twoShards)
+			require.Eventually(t, func() bool { return leads(first) == 2 }, waitTimeout, 5*time.Millisecond)
+			for number := range 2 {
+				held := make(chan struct{})
+				first.leaders[number].post(func(now time.Time) {
+					first.leaders[number].term.moves.balancedAt = now.Add(time.Hour)
+					close(held)
+				})
+				<-held
+			}
+			s.submitLabelled("b")
+			require.Eventually(t, func() bool { return groupState(first, 0, "b").Known }, waitTimeout, time.Millisecond)
+			second := s.startGroup(t.Context(), "olinda-1", twoShards)
+			first.Resign(t.Context())
+			require.Eventually(t, func() bool { return leads(second) == 2 }, waitTimeout, time.Millisecond)
+			require.Equal(t, work.Queued, groupState(second, 0, "b").State)
+			time.Sleep(balanceInterval / 4)
+			s.store.SetFault(func(call string) error {
+				if call == "commit" {
+					return fault.err
+				}
+				return nil
+			}, fault.delayed)
+			time.Sleep(3 * balanceInterval / 2)
+			s.store.SetFault(func(string) error { return nil }, false)
+			s.waitEnded([]*Group{second}, "b")
+			s.store.ApplyDelayed()
+			time.Sleep(balanceInterval)
+			s.requireOneRecord("b")
+			key := work.TaskKey{
+				Job: "b",
+			}
+			assert.Equal(t, 1, s.workers.started(key))
+			assert.Equal(t, "w1", s.workers.placeOf(key))
+		})
+	}
+}
+
 // waitEnded returns once a leader reports the end of the job.
 func (s *site) waitEnded(groups []*Group, id string) {
 	s.t.Helper()
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -104,10 +104,12 @@
 	// one, zero if there is none: its tasks may be running on workers that have
 	// not reported yet.
 	inherited int64
-	// fromEarlierTerm is set if the job was accepted before this term, and
-	// everClaimed once one of its tasks had a claim: it stays in this shard.
+	// fromEarlierTerm is set if the job was accepted before this term, and recorded
+	// if it had a progress record then.
+	fromEarlierTerm, recorded bool
+	// everClaimed is set once one of its tasks had a claim: it stays in this shard.
 	// departing jobs are on their way to another shard and are not started.
-	fromEarlierTerm, everClaimed, departing bool
+	everClaimed, departing bool
 	// balanced is set once a round of moves has left the job here.
 	balanced bool
 	// hasLocated is set if one of its tasks is located.
@@ -183,6 +185,7 @@
 	j.idleSince = now
 	j.build(now, timeOfDay)
 	if progress != nil {
+		j.recorded = true
 		j.restore(progress)
 	}
 	b.joinOrganisation(j)
--- a/internal/process/schedule/moves.go
+++ b/internal/process/schedule/moves.go
@@ -126,21 +126,46 @@
 	filler  bool
 }
 
-// movable reports whether the job may move: no task of it can ever have been
-// started, and it is not about to start here.
+// movable reports whether the job may move: no task of it was ever started, and
+// it is not about to start here.
 func (j *job) movable(now time.Time) bool {
-	if j.departing || j.fromEarlierTerm || j.everClaimed {
+	if j.departing || !j.neverStarted() {
 		return false
 	}
 	return now.Sub(j.seen) >= moveDelay || j.work.LongRunning() && !j.balanced
 }
 
+// neverStarted reports whether it is certain that no leader of this shard has
+// started a task of the job, or that all it has started is over and left no
+// record. A job of an earlier term needs proof: that every leader recorded the
+// workers of its tasks before their starts, or a handover that names none. What an
+// earlier leader has ordered since cannot take effect: its commits are conditional
+// on its lead key, and a long-running task starts only after such a commit.
+func (j *job) neverStarted() bool {
+	if j.everClaimed || !j.fromEarlierTerm {
+		return !j.everClaimed
+	}
+	if j.recorded || j.version > 0 || !j.hasLocated {
+		return false
+	}
+	for _, occ := range j.occurrences {
+		for _, step := range occ.steps {
+			for _, t := range step.tasks {
+				if !t.located || len(t.lastWorkers) > 0 {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
 // held reports whether a job waits for a round of moves. Load pattern: hundreds
 // of long-running jobs arrive within seconds and take most of the capacity for
 // minutes. Chance gives some shards more than they can hold; a task that fails
 // there finds no room again while other shards have it.
 func (b *Board) held(j *job) bool {
-	return b.config.HoldsLongRunning && !j.balanced && !j.fromEarlierTerm && !j.everClaimed && j.work.LongRunning()
+	return b.config.HoldsLongRunning && !j.balanced && j.work.LongRunning() && j.neverStarted()
 }
 
 // Arrived marks a job that was moved here: it is not held again.
--- a/internal/process/schedule/moves_test.go
+++ b/internal/process/schedule/moves_test.go
@@ -35,6 +35,16 @@
 	return ids
 }
 
+// longRunningJob returns a job of one long-running task that fills a worker.
+func longRunningJob(id string) *work.Job {
+	step := tasks(1, 8000)
+	step.LongRunning = true
+	return testJob(id, "quotes", step)
+}
+
+// Load pattern: the leaders of all shards resign while hundreds of long-running
+// jobs arrive. A job that may have been started must stay; one that was not must
+// move and wait for a round of moves, or chance fills one shard for the day.
 func TestOnlyUntouchedJobsMove(t *testing.T) {
 	later := testStart.Add(2 * moveDelay)
 	tests := map[string]struct {
@@ -52,6 +62,70 @@
 				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, true, testStart, testStart)
 			},
 		},
+		"was accepted in an earlier term that placed nothing": {
+			prepare: func(board *Board) {
+				board.AddJob(longRunningJob("b"), nil, true, testStart, testStart)
+				board.TrustPlacements()
+			},
+			want: []string{"b"},
+		},
+		"was accepted in an earlier term that recorded no placements": {
+			prepare: func(board *Board) {
+				board.AddJob(longRunningJob("b"), nil, true, testStart, testStart)
+			},
+		},
+		"was placed in an earlier term": {
+			prepare: func(board *Board) {
+				board.AddJob(longRunningJob("b"), &work.Progress{
+					Placements: map[int]string{0: "w9"},
+				}, true, testStart, testStart)
+				board.TrustPlacements()
+			},
+		},
+		"was placed in an earlier term, and its run is over": {
+			prepare: func(board *Board) {
+				board.AddJob(longRunningJob("b"), &work.Progress{
+					Placements: map[int]string{0: "w9"},
+				}, true, testStart, testStart)
+				board.TrustPlacements()
+				board.ApplyHandover(Handover{
+					Token: 1,
+				})
+			},
+		},
+		"is quick, and earlier placements are recorded": {
+			prepare: func(board *Board) {
+				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, true, testStart, testStart)
+				board.TrustPlacements()
+			},
+		},
+		"is quick, and was handed over": {
+			prepare: func(board *Board) {
+				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, true, testStart, testStart)
+				board.ApplyHandover(Handover{
+					Token: 1,
+				})
+			},
+			want: []string{"b"},
+		},
+		"is quick, and the leader before was not certain of it": {
+			prepare: func(board *Board) {
+				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, true, testStart, testStart)
+				board.ApplyHandover(Handover{
+					Token:     1,
+					Uncertain: []string{"b"},
+				})
+			},
+		},
+		"is quick, and may be running on a worker": {
+			prepare: func(board *Board) {
+				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, true, testStart, testStart)
+				board.ApplyHandover(Handover{
+					Token:  1,
+					Claims: map[string][]work.TaskKey{"w9": {firstTask("b")}},
+				})
+			},
+		},
 		"has just arrived": {
 			prepare: func(board *Board) {
 				board.AddJob(testJob("b", "quotes", tasks(1, 8000)), nil, false, later, testStart)
@@ -91,6 +165,22 @@
 	}
 }
 
+// A long-running job that starts before a round of moves fills the shard that
+// chance gave it, whoever accepted it.
+func TestInheritedLongRunningJobsWaitForMoves(t *testing.T) {
+	board := testBoard("w0")
+	board.config.HoldsLongRunning = true
+	board.AddJob(longRunningJob("b"), nil, true, testStart, testStart)
+	board.TrustPlacements()
+	board.Decide(testStart, true)
+	assert.Zero(t, board.jobs["b"].claims)
+	even := testBoard("w1")
+	even.AddJob(longRunningJob("a"), nil, false, testStart, testStart)
+	assert.Empty(t, movesOf(testStart, board, even))
+	board.Decide(testStart.Add(simulationStep), true)
+	assert.Equal(t, 1, board.jobs["b"].claims)
+}
+
 // A job on its way is not started here: the other shard may start it already.
 func TestDepartingJobIsNotStarted(t *testing.T) {
 	now := testStart.Add(2 * moveDelay)
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -13,6 +13,7 @@
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
 	"mustardreach.example/mustardreach/internal/process/golden"
+	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/request/work"
 	"mustardreach.example/mustardreach/internal/version/catalog"
 )
@@ -143,6 +144,12 @@
 	unreachable        map[string]time.Duration
 	// gangs is set if the first steps of jobs are gangs.
 	gangs bool
+	// moves is set if another shard takes what may move. moved holds the jobs that
+	// have left and are running there, movedLater counts those that did so in a term
+	// later than that of their acceptance.
+	moves      bool
+	moved      map[string]bool
+	movedLater int
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -156,6 +163,7 @@
 		everDone:     map[work.TaskKey]bool{},
 		acknowledged: map[work.TaskKey]bool{},
 		failed:       map[work.TaskKey]int{},
+		moved:        map[string]bool{},
 	}
 	for i := range 3 {
 		id := fmt.Sprintf("w%d", i)
@@ -196,6 +204,7 @@
 	if sim.preempts {
 		sim.board.config.Notice = simulationStep
 	}
+	sim.board.config.HoldsLongRunning = sim.moves
 	sim.board.SetCatalog(sim.catalog())
 	sim.board.Begin(sim.token, sim.now)
 	if sim.quotas != nil {
@@ -310,6 +319,7 @@
 	for id, simWorker := range sim.workers {
 		require.Nil(sim.t, simWorker.running[start.Key], "%s is started while it runs on %s; preemptions %d", start.Key, id, sim.preempted)
 	}
+	require.False(sim.t, sim.moved[start.Key.Job], "%s is started after its job has moved", start.Key)
 	spec := sim.specs[start.Key.Job]
 	if spec.LongRunning() {
 		return
@@ -603,10 +613,47 @@
 	if !sim.storeDown {
 		sim.board.Confirmed(sim.now)
 	}
+	sim.moveJobs()
 	sim.decide(sim.board, true)
 	sim.tickPrevious()
 }
 
+// moveJobs makes a round of moves to an empty shard, which starts what it gets at
+// once. The commit of a move succeeds, as this leader has not been replaced.
+func (sim *simulation) moveJobs() {
+	if !sim.moves || rapid.IntRange(0, 9).Draw(sim.t, "balance") != 0 {
+		return
+	}
+	const cores = 1000 * 1000
+	loads := map[string]map[int]shard.Load{
+		"workshop": {
+			0: {
+				Capacity: cores,
+				Waiting:  cores,
+			},
+			1: {
+				Capacity: cores,
+				Free:     cores,
+			},
+		},
+	}
+	for _, move := range sim.board.Moves(0, loads, sim.now) {
+		id := move.Job.ID
+		require.NotContains(sim.t, sim.progress, id, "a job leaves its progress behind")
+		for worker, simWorker := range sim.workers {
+			for key := range simWorker.running {
+				require.NotEqual(sim.t, id, key.Job, "a job moves while it runs on %s", worker)
+			}
+		}
+		sim.board.Departed(id)
+		delete(sim.specs, id)
+		sim.moved[id] = true
+		if sim.created[id] < sim.token {
+			sim.movedLater++
+		}
+	}
+}
+
 // tickPrevious lets a leader act that was replaced and does not know it: the store
 // may have taken its lead key away, and turns it away. It ends with the first
 // answer of a worker that has seen a higher token, and at the end of its act term.
@@ -670,6 +717,22 @@
 	})
 }
 
+// What an earlier leader accepted and did not start moves to another shard after
+// a resignation or a loss of the leader. No worker here may start it after that,
+// whatever the earlier leader has ordered or orders still.
+func TestNoMovedJobRunsTwice(t *testing.T) {
+	moved := 0
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newSimulation(t)
+		sim.longRunning, sim.resigns, sim.moves = true, true, true
+		sim.board.config.HoldsLongRunning = true
+		sim.runWithFaults()
+		moved += sim.movedLater
+	})
+	require.Positive(t, moved, "jobs of earlier terms move")
+	t.Logf("%d moves of jobs of earlier terms", moved)
+}
+
 // A task that is preempted for a quick one starts again elsewhere or on the same
 // worker, also if the stop is lost or the leader changes in between.
 func TestNoPreemptedTaskRunsTwice(t *testing.T) {
