Transfer tasks of jobs that no round of moves has placed

A job of which nothing was started moves as a whole; one that no shard has the budget for left its tasks waiting beside free pieces of other shards. After two seconds its tasks may be transferred like others. A job with a transferred task does not move any more: its record is what the others name.

--- a/internal/process/schedule/transfer.go
+++ b/internal/process/schedule/transfer.go
@@ -32,6 +32,9 @@
 	// its shard. A restart there takes some decisions; one elsewhere takes a round of
 	// balancing and two commits more, and must be over within 3 s.
 	transferAfter = time.Second
+	// movesFirst is how long a job of which nothing was started is left to the moves of
+	// whole jobs: a few rounds.
+	movesFirst = 2 * time.Second
 	// maxTransfers limits the transfers of one round, each of which is a commit.
 	maxTransfers = 16
 )
@@ -92,7 +95,8 @@
 	var out []transferCandidate
 	for _, j := range b.open {
 		inFlight := j.partial && j.transfers > 0 // the last one takes the job along
-		if !j.work.LongRunning() || inFlight || b.jobReason(j) != NoReason || j.movable(now) {
+		mayMove := j.movable(now) && now.Sub(j.seen) < movesFirst
+		if !j.work.LongRunning() || inFlight || mayMove || b.jobReason(j) != NoReason {
 			continue
 		}
 		for _, occ := range j.occurrences {
@@ -157,6 +161,7 @@
 	t.phase = elsewhere
 	out.Progress = j.snapshot()
 	t.phase, t.departing, t.shard = waiting, true, to
+	j.everClaimed = true // the job's record stays here
 	j.transfers++
 	return out
 }
--- a/internal/process/schedule/transferred.go
+++ b/internal/process/schedule/transferred.go
@@ -85,6 +85,7 @@
 	if j == nil || j.partial {
 		return
 	}
+	j.everClaimed = true
 	_, step, t := j.find(location.Key)
 	switch {
 	case t == nil || t.departing:
