Record the time from the end of a long-running task to its next start

Cause: operators could see starts and ends of long-running tasks as lines only, with no figure of how long a task was down. endedAt of a task can't give it: each refused start sets it anew. Change: downSince is when the last run that a worker has begun ended. The first answer, report or end that shows the next run gives the time, which is recorded as latencies.restart. No decision uses it.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -188,6 +188,7 @@
 	l.term.saveLearned(now)
 	l.term.moves.balance(now)
 	l.term.quotas.revise(now)
+	l.term.recordRestarts()
 	l.term.summarise(now)
 }
 
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -109,6 +109,9 @@
 	// unrecordedStarts are starts of long-running tasks whose placements are not
 	// in the store yet.
 	unrecordedStarts []unrecordedStart
+	// restarts are the times from ends of long-running tasks to their next starts that
+	// were not recorded yet.
+	restarts []time.Duration
 	// pendingRetries are starts to send again if their claims still hold.
 	pendingRetries []Start
 	// unsaved holds the jobs whose progress is newer than their record.
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -222,6 +222,9 @@
 	}
 	t.phase, t.worker = waiting, ""
 	t.endedAt = now
+	if held.confirmed {
+		t.downSince = now
+	}
 	t.confirmAfter = w.confirmAfter
 	step.waiting++
 	j.claims--
--- a/internal/process/schedule/ends.go
+++ b/internal/process/schedule/ends.go
@@ -15,6 +15,7 @@
 	held := w.claims[end.Key]
 	if held != nil && held.run == end.Run {
 		b.recordHealth(w, end, held, now)
+		b.noteBegun(end.Key, held, now)
 		b.release(w, end.Key, now)
 	}
 	j := b.jobs[end.Key.Job]
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -174,7 +174,7 @@
 }
 
 func (b *Board) observe(held *claim, row RunningTask, sent, now time.Time) {
-	held.confirmed = true
+	b.noteBegun(row.Key, held, now)
 	held.confirmedAt = sent
 	if !held.barred.IsZero() && sent.After(held.barred.Add(stopRetryGraces*b.config.StopGrace)) {
 		held.barred, held.stopping = time.Time{}, time.Time{} // the stop was lost
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -49,6 +49,9 @@
 	stalls int
 	// endedAt is when the last run ended.
 	endedAt time.Time
+	// downSince is when the last run ended that a worker is known to have begun; endedAt
+	// is later if starts were refused since. It is zero if this leader knows of none.
+	downSince time.Time
 	// confirmAfter is that of the worker of the last run when it ended. The worker
 	// may have told a successor before how the run ended, so that the next start
 	// needs a later confirmation of the leadership.
--- a/internal/process/schedule/replies.go
+++ b/internal/process/schedule/replies.go
@@ -36,7 +36,7 @@
 	}
 	switch verdict {
 	case Accepted:
-		held.confirmed = true
+		b.noteBegun(start.Key, held, now)
 		held.started = now
 		if j := b.jobs[start.Key.Job]; j != nil {
 			j.progress.Started = true
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -210,6 +210,7 @@
 			b.release(w, key, now)
 			continue
 		}
+		b.noteOver(key, held, now)
 		held.confirmed, held.stopping, held.barred = false, time.Time{}, time.Time{}
 		b.stop(w.ID, key, held.run, "worker_restarted")
 	}
