Place the long-running tasks that are down before everything else

Cause: jobs are ranked, not tasks. A job goes first once one of its tasks has been down for 2 s; until then quick jobs of the same priority go before it. After that it goes by its id among all jobs with a task that waits for 2 s, which in a full service are also those of which nothing has ever run.

Evidence: TestCapacityThatComesFreeGoesToATaskThatIsDown and TestCapacityThatComesFreeGoesToTheTaskThatIsDownForLongest. Before, all four cases failed: the failed run's capacity went to the quick task, to a quick task of an eighth of the size, to a task that was never started, and to a task that had ended 1 s later.

Change: a decision first places the tasks that wait after a run, the longest down first. A preempted task isn't among them: its capacity is returned to it after 4 s. A task with a worker that it avoids is recorded as a shortage too: to avoid is a last choice, so that the search has included that worker. Otherwise each failed task would be searched for in each decision.

Ruled out: the worker to avoid (a weight, no exclusion), the pause after a refusal (none follows a failed run).

--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -75,11 +75,6 @@
 	return step.spec.LongRunning && !t.endedAt.IsZero() && now.Sub(t.endedAt) >= takesReservedAfter
 }
 
-// wasPreempted reports whether the task's last run was stopped for a quick task.
-func (t *task) wasPreempted() bool {
-	return !t.preemptedAt.IsZero() && !t.startedAt.After(t.preemptedAt)
-}
-
 // placeReturning starts the tasks of a long-running step whose capacity is being
 // returned and free, on workers that the step may be given.
 func (b *Board) placeReturning(j *job, step *stepState, pool []*workerState, now time.Time) {
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -12,37 +12,56 @@
 // place goes through the waiting jobs by rank and starts the tasks that fit.
 func (b *Board) place(now time.Time) {
 	b.placement.begin(now)
+	pools := newPools()
+	b.placeDown(pools, now)
 	candidates := b.ranked(func(j *job) bool {
 		return j.left > j.claims && b.jobReason(j) == NoReason
 	}, now)
-	shortages := map[poolKey]*shortage{}
-	pools := map[poolKey][]*workerState{}
-	// Those of the job before: most jobs have the same pool.
-	var last poolKey
-	var pool []*workerState
-	var found *shortage
 	for _, j := range candidates {
 		if b.startsLeft <= 0 {
 			break
 		}
-		j.pool = b.poolOf(j, j.rank.Service, now)
-		if found == nil || j.pool != last {
-			last = j.pool
-			if shortages[last] == nil {
-				pools[last], shortages[last] = b.pool(last, now), newShortage()
-			}
-			pool, found = pools[last], shortages[last]
-		}
-		if len(pool) > 0 {
+		if pool, found := b.poolFor(j, pools, now); len(pool) > 0 {
 			b.placeJob(j, pool, found, now)
 		}
 	}
-	for key, found := range shortages {
+	for key, found := range pools.shortages {
 		if found.lacking {
 			b.shortAt[key.service] = now
 		}
 	}
-	b.shortages = shortages
+	b.shortages = pools.shortages
+}
+
+// pools holds the workers of each pool in one decision, and what did not fit there.
+type pools struct {
+	workers   map[poolKey][]*workerState
+	shortages map[poolKey]*shortage
+	// last is the pool that was last asked for: most jobs have the same one as the
+	// job before.
+	last        poolKey
+	lastWorkers []*workerState
+	lastFound   *shortage
+}
+
+func newPools() *pools {
+	return &pools{
+		workers:   map[poolKey][]*workerState{},
+		shortages: map[poolKey]*shortage{},
+	}
+}
+
+// poolFor returns the workers for a job, and what did not fit there.
+func (b *Board) poolFor(j *job, known *pools, now time.Time) ([]*workerState, *shortage) {
+	j.pool = b.poolOf(j, b.serviceOf(j), now)
+	if known.lastFound == nil || j.pool != known.last {
+		known.last = j.pool
+		if known.shortages[j.pool] == nil {
+			known.workers[j.pool], known.shortages[j.pool] = b.pool(j.pool, now), newShortage()
+		}
+		known.lastWorkers, known.lastFound = known.workers[j.pool], known.shortages[j.pool]
+	}
+	return known.lastWorkers, known.lastFound
 }
 
 // poolKey selects the workers of a service for a kind of job.
@@ -144,7 +163,7 @@
 }
 
 func (b *Board) placeStep(j *job, step *stepState, pool []*workerState, shortages *shortage, now time.Time) {
-	if !j.admits(step) {
+	if !b.admits(j, step) {
 		return
 	}
 	urgent := b.urgent(j) && !step.spec.Filler
@@ -157,12 +176,12 @@
 	if preferred.groupWaits() {
 		return
 	}
-	for _, t := range b.placingOrder(step, now) {
-		if b.startsLeft <= 0 || !j.admits(step) {
+	for _, t := range step.tasks {
+		if !b.admits(j, step) {
 			return
 		}
-		if ruledOut && !b.longDown(step, t, now) || !b.startable(j, t, now) {
-			continue
+		if step.restarts(t) || ruledOut && !b.longDown(step, t, now) || !b.startable(j, t, now) {
+			continue // placeDown has looked for a worker for those that restart
 		}
 		w := b.candidate(preferred, step, t, pool)
 		switch {
@@ -175,7 +194,7 @@
 			b.reserve(j, step, t, pool, now)
 		default:
 			shortages.lacking = true
-			shortages.record(step.spec, t)
+			shortages.record(step.spec)
 			if !step.spec.LongRunning || !t.endedAt.IsZero() {
 				return
 			}
@@ -184,32 +203,6 @@
 	}
 }
 
-// placingOrder returns the tasks of a step in the order in which they are placed.
-// Tasks that have been down for long go first: they may use capacity into which the
-// others do not fit, and a task that does not fit ends the search for its step.
-// Preempted tasks keep their place, as their capacity is returned to them.
-func (b *Board) placingOrder(step *stepState, now time.Time) []*task {
-	first := func(t *task) bool {
-		return t.phase == waiting && !t.wasPreempted() && b.longDown(step, t, now)
-	}
-	if !step.spec.LongRunning || !slices.ContainsFunc(step.tasks, first) {
-		return step.tasks
-	}
-	out := slices.Clone(step.tasks)
-	slices.SortStableFunc(out, func(a, c *task) int {
-		switch {
-		case first(a) && first(c):
-			return a.endedAt.Compare(c.endedAt)
-		case first(a):
-			return -1
-		case first(c):
-			return 1
-		}
-		return 0
-	})
-	return out
-}
-
 // candidate returns the worker that the task would run on now, nil if there is none.
 func (b *Board) candidate(preferred *preference, step *stepState, t *task, pool []*workerState) *workerState {
 	if w := preferred.declinedBefore(t); w != nil {
@@ -227,6 +220,12 @@
 	return j.account.Admits(step.spec.Size)
 }
 
+// admits reports whether neither the limit of the organisation nor that of the starts
+// keeps the step from a start.
+func (b *Board) admits(j *job, step *stepState) bool {
+	return b.startsLeft > 0 && j.admits(step)
+}
+
 // startable reports whether a task waits and nothing but capacity may keep it from
 // a start.
 func (b *Board) startable(j *job, t *task, now time.Time) bool {
--- a/internal/process/schedule/preempt.go
+++ b/internal/process/schedule/preempt.go
@@ -56,7 +56,7 @@
 		}
 	}
 	if best == nil {
-		recordFailure(b.urgentCapacity.lower, b.serviceOf(j), step.spec, t)
+		recordFailure(b.urgentCapacity.lower, b.serviceOf(j), step.spec)
 		b.preemptLongRunning(j, step, t, now)
 		return
 	}
--- a/internal/process/schedule/shortage.go
+++ b/internal/process/schedule/shortage.go
@@ -41,9 +41,9 @@
 }
 
 // record adds a task of the step that did not fit.
-func (s *shortage) record(spec *work.Step, t *task) {
+func (s *shortage) record(spec *work.Step) {
 	switch {
-	case spec.Label != "" || spec.Spread != 0 || t.avoid != "":
+	case spec.Label != "" || spec.Spread != 0:
 	case spec.Filler:
 		s.fillers[spec.Image] = append(s.fillers[spec.Image], spec.Size)
 	default:
--- a/internal/process/schedule/urgent.go
+++ b/internal/process/schedule/urgent.go
@@ -96,11 +96,11 @@
 }
 
 // recordFailure adds a task for which nothing can be preempted.
-func recordFailure(failures map[string]*shortage, service string, spec *work.Step, t *task) {
+func recordFailure(failures map[string]*shortage, service string, spec *work.Step) {
 	if failures[service] == nil {
 		failures[service] = newShortage()
 	}
-	failures[service].record(spec, t)
+	failures[service].record(spec)
 }
 
 // preemptLongRunning stops the cheapest long-running runs for a quick task that
@@ -135,7 +135,7 @@
 		return
 	case best == nil:
 		state.counts.NoVictim++
-		recordFailure(state.failed, b.serviceOf(j), step.spec, t)
+		recordFailure(state.failed, b.serviceOf(j), step.spec)
 		return
 	case !state.limiter.Allow(len(choice.Runs)):
 		state.counts.Limited++
