Let a failed long-running task take reserved capacity after 2 s

Callers see: a long-running task whose run has failed waits beside capacity that is kept for others, for 6 s and until what holds that capacity has ended. From 6 s after its last run on callers count it as lost once it has waited for 3 s beside room.

Cause: takesReservedAfter was 3 x rank.OverdueAfter = 6 s for all tasks.

Evidence: TestTaskThatIsDownTakesReservedCapacityInTime, case "failed": 6 s before, a bound of 3 s; passes now. The case "preempted" passes before and after.

Change: the time is 2 s, counted from the end of the last run or, for a preempted task, from when its capacity is due to be returned, which leaves it at 6 s.

Ruled out: a job that counts as overdue at 2 s exactly, not after it, so that both times meet.

--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -66,13 +66,25 @@
 }
 
 // takesReservedAfter is how long a long-running task may be down before it takes
-// reserved capacity: from then on it must not wait beside free capacity.
-const takesReservedAfter = 3 * rank.OverdueAfter
+// reserved capacity: a third of the 6 s after its last run from which on it must not
+// wait beside free capacity, so that it runs in time although quick tasks that hold the
+// capacity have to end first.
+const takesReservedAfter = rank.OverdueAfter
+
+// downSince is since when a long-running task that waits is down: the end of its last
+// run or, if that was preempted, when its capacity is due to be returned. It is zero for
+// a task that was never started.
+func (t *task) downSince() time.Time {
+	if t.wasPreempted() {
+		return t.endedAt.Add(returnAfter)
+	}
+	return t.endedAt
+}
 
 // longDown reports whether a long-running task has waited so long that capacity
 // must not be kept from it.
 func (b *Board) longDown(step *stepState, t *task, now time.Time) bool {
-	return step.spec.LongRunning && !t.endedAt.IsZero() && now.Sub(t.endedAt) >= takesReservedAfter
+	return step.spec.LongRunning && !t.endedAt.IsZero() && now.Sub(t.downSince()) >= takesReservedAfter
 }
 
 // placeReturning starts the tasks of a long-running step whose capacity is being
--- a/internal/process/schedule/silentwaits_test.go
+++ b/internal/process/schedule/silentwaits_test.go
@@ -170,3 +170,57 @@
 	}
 	assert.LessOrEqual(t, now.Sub(testStart), 9*time.Second)
 }
+
+// Guards against a long-running task whose run has failed and that waits beside
+// capacity kept for others until callers count it as lost, 6 s after its last run. A
+// preempted one leaves the capacity that it was preempted for to quick tasks for longer.
+func TestTaskThatIsDownTakesReservedCapacityInTime(t *testing.T) {
+	tests := map[string]struct {
+		preempted      bool
+		least, longest time.Duration
+	}{
+		"failed": {
+			longest: 3 * time.Second,
+		},
+		"preempted": {
+			preempted: true,
+			least:     returnAfter,
+			longest:   returnAfter + 3*time.Second,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			lasting := tasks(1, 8000)
+			lasting.LongRunning = true
+			board.AddJob(testJob("a", "plans", lasting), nil, false, testStart, testStart)
+			down := board.jobs["a"].occurrences[0].steps[0].tasks[0]
+			down.startedAt, down.endedAt = testStart.Add(-time.Second), testStart
+			if tt.preempted {
+				down.preemptedAt = testStart
+			}
+			waits := keepOccupied(board, down, testStart)
+			assert.LessOrEqual(t, waits, tt.longest)
+			assert.GreaterOrEqual(t, waits, tt.least)
+		})
+	}
+}
+
+// keepOccupied keeps 1000 millicores of w0 for a quick task in each decision until the
+// task that is down has a claim, and returns how long that takes from a time on.
+func keepOccupied(board *Board, down *task, from time.Time) time.Duration {
+	board.AddJob(testJob("b", "quotes", tasks(1, 1000)), nil, false, from, from)
+	other := board.jobs["b"].occurrences[0].steps[0].tasks[0]
+	other.notBefore = from.Add(time.Hour)
+	now := from
+	for down.phase != claimed && now.Before(from.Add(time.Minute)) {
+		now = now.Add(simulationStep)
+		poll(board, "w0", now)
+		board.unreserve(other.key)
+		board.keep(other.key, board.workers["w0"], worker.Size{
+			MilliCores: 1000,
+		}, now)
+		board.Decide(now, true)
+	}
+	return now.Sub(from)
+}
