Withhold resignations for lag in a rush, and beside others

Cause: a leader judges its delay alone. In a rush the orders wait behind those decided before them, on any host of its size; a successor is as loaded and knows less. Nothing kept several shards from changing at once.

Change: a resignation for lag is withheld - for 5 s at most, while only orders are late, the leader carries out at least 0.75 of the most orders a second that it carried out in time, and no able host has twice its processor time (load_rose); - while the leader of another shard has published that it is as late (other_shard_as_late; shard.Load has Late, field 9); - for 3 s after the term of another shard's leader ended (other_shard_changed); the load goes with the lead key for that. The last two do not hold while the lease is renewed late. The line "resignation withheld" is written once for each period and reason, also if reasons alternate.

Ruled out: the processor time used as measure (a host whose clock rate falls uses all of it), the rate of other shards' leaders (hosts differ by a factor of four), fewer queued orders (a slow host would not be late by its orders). Left: a host that was slow before the first load of its term, with a loop in time, leads for 5 s longer.

--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -116,8 +116,12 @@
 }
 
 func (t *term) handleReply(c *call, verdict schedule.Verdict, _ time.Duration, now time.Time) {
-	if verdict == schedule.Unknown {
+	switch verdict {
+	case schedule.Unknown:
 		t.leader.lag.unansweredAt = now
+	case schedule.NotSent:
+	default:
+		t.leader.lag.orderCarried()
 	}
 	t.dispatch(now)
 	if verdict == schedule.Fenced && c.lease.Token != t.token {
--- a/internal/process/leader/handover.go
+++ b/internal/process/leader/handover.go
@@ -31,6 +31,10 @@
 	keys  Keys
 	// revision is that of the lead key to remove, zero if it has lapsed.
 	revision int64
+	// load is the key of the shard's load, which is removed with the lead key, so
+	// that the leaders of other shards see the end of the term at once; empty in a
+	// fleet of one shard.
+	load string
 	// handover is nil if nothing is known.
 	handover *handoverRecord
 	done     chan struct{}
@@ -53,6 +57,9 @@
 	}
 	if r.revision != 0 {
 		commit.Delete = []string{r.keys.Lead}
+		if r.load != "" {
+			commit.Delete = append(commit.Delete, r.load)
+		}
 	}
 	fields := []any{"token", r.revision}
 	if r.handover != nil {
--- a/internal/process/leader/lag.go
+++ b/internal/process/leader/lag.go
@@ -41,6 +41,23 @@
 	// the sample after it count less than lagTime, so that a single pause is no
 	// lasting lag.
 	maxSampleGap = 3 * tick
+	// rushTime is for how long a rise of the load may withhold a resignation. The
+	// first rush of a fleet is worked off in less; a host that was slow before it
+	// has to resign in the end.
+	rushTime = 5 * time.Second
+	// rushShare and rateTime say when the load has risen, and not the host slowed
+	// down: for rateTime, the leader carries out at least rushShare of the most
+	// orders that it carried out in time before. A host that is slowed to less than
+	// this share is not able to.
+	rushShare = 0.75
+	rateTime  = time.Second
+	// largerHost is how many times this host's processor time another one has that
+	// carries a risen load better.
+	largerHost = 2
+	// apartTime is for how long no leader resigns for lag after that of another
+	// shard has ended its term. The change takes about 0.7 s and the new term is not
+	// judged for settleTime: then it shows whether the change has helped.
+	apartTime = settleTime + time.Second
 	// reportAge is how old the report of a host that keeps up may be: two
 	// reports and some delay.
 	reportAge = 2500 * time.Millisecond
@@ -66,6 +83,13 @@
 	// a call slot, and renewal how late the lease was renewed: the worst since the
 	// previous sample.
 	loop, events, orders, renewal time.Duration
+	// carried is the number of orders that were answered since the previous sample.
+	carried int
+	// otherDelay is the greatest delay that leaders of other shards have published,
+	// and otherEndedAt when the term of one of them was last seen to end; zero
+	// without one.
+	otherDelay   time.Duration
+	otherEndedAt time.Time
 	// links are the links to workers on the list, lost those that do not answer.
 	links, lost int
 	// milliCores is the processor time of this host, in thousandths of a core.
@@ -79,6 +103,12 @@
 	return s.loop + s.events + s.orders
 }
 
+// ordersOnly reports whether orders are late and this host's processor is not:
+// they wait for those decided before them, and the loop runs in time.
+func (s *lagSample) ordersOnly() bool {
+	return s.loop+s.events <= maxDelay/2 && s.renewal <= maxRenewalDelay/2
+}
+
 // knownHost is what another host has reported.
 type knownHost struct {
 	name       string
@@ -100,6 +130,14 @@
 const (
 	withheldNoHost withheld = "no_better_host"
 	withheldRecent withheld = "resigned_recently"
+	// withheldLoad means that the load has risen: a successor is as loaded, and
+	// knows less.
+	withheldLoad withheld = "load_rose"
+	// withheldLater means that the leader of another shard is as late, and
+	// withheldApart that one has just ended its term. Load pattern: all leaders lag in
+	// the first rush of a fleet; if all resign, nobody knows where its tasks run.
+	withheldLater withheld = "other_shard_as_late"
+	withheldApart withheld = "other_shard_changed"
 )
 
 // lagVerdict is the outcome of a decision. The leader resigns if there is a
@@ -127,7 +165,47 @@
 	sampledAt time.Time
 	// cutOff is the same for lost links.
 	cutOff time.Duration
-	last   map[resignCause]lastResignation
+	// rate is the rate of orders in this term.
+	rate orderRate
+	// rushSince is when a rise of the load began to withhold a resignation, zero
+	// once the leader is not late any more.
+	rushSince time.Time
+	last      map[resignCause]lastResignation
+}
+
+// orderRate is how many orders a leader carries out.
+type orderRate struct {
+	// samples are those of the last rateTime.
+	samples []orderSample
+	// now is their sum, and inTime the greatest that it was while no sample of
+	// rateTime was late.
+	now, inTime int
+	// lateAt is the time of the last late sample, or when the term began.
+	lateAt time.Time
+}
+
+type orderSample struct {
+	at      time.Time
+	carried int
+}
+
+// add adds a sample.
+func (r *orderRate) add(sample *lagSample) {
+	r.samples = append(r.samples, orderSample{
+		at:      sample.at,
+		carried: sample.carried,
+	})
+	r.now += sample.carried
+	for sample.at.Sub(r.samples[0].at) >= rateTime {
+		r.now -= r.samples[0].carried
+		r.samples = r.samples[1:]
+	}
+	if sample.delay() > maxDelay || r.lateAt.IsZero() {
+		r.lateAt = sample.at
+	}
+	if sample.at.Sub(r.lateAt) >= rateTime {
+		r.inTime = max(r.inTime, r.now)
+	}
 }
 
 // judge decides on a sample. Samples are given in the order of their times.
@@ -136,6 +214,7 @@
 	gap := min(maxSampleGap, passed)
 	catchingUp := j.delay-sample.delay() >= passed/2
 	j.sampledAt, j.delay = sample.at, sample.delay()
+	j.rate.add(sample)
 	if sample.at.Sub(sample.began) < settleTime {
 		j.reset()
 		return lagVerdict{}
@@ -146,6 +225,9 @@
 	case sample.delay() <= maxDelay:
 		j.behind = max(0, j.behind-gap)
 	}
+	if j.behind == 0 {
+		j.rushSince = time.Time{}
+	}
 	if sample.lost >= minLostLinks && lostShare*sample.lost >= sample.links {
 		j.cutOff = min(lagTime, j.cutOff+gap)
 	} else {
@@ -182,10 +264,45 @@
 	verdict.better = better
 	if last, ok := j.last[cause]; ok && sample.at.Before(last.nextAt()) {
 		verdict.withheld, verdict.nextAt = withheldRecent, last.nextAt()
+		return verdict
+	}
+	if cause == causeLag {
+		verdict.withheld = j.withholdLag(sample)
 	}
 	return verdict
 }
 
+// withholdLag returns why a leader that lags beside a better host does not resign.
+// A leader whose lease is renewed late resigns whatever other shards do: it would
+// lose the lease, and with it the handover.
+func (j *lagJudge) withholdLag(sample *lagSample) withheld {
+	switch {
+	case j.loadRose(sample):
+		if j.rushSince.IsZero() {
+			j.rushSince = sample.at
+		}
+		if sample.at.Sub(j.rushSince) < rushTime {
+			return withheldLoad
+		}
+	case sample.renewal > maxRenewalDelay:
+		return ""
+	}
+	switch {
+	case sample.otherDelay > maxDelay && sample.otherDelay >= sample.delay():
+		return withheldLater
+	case !sample.otherEndedAt.IsZero() && sample.at.Sub(sample.otherEndedAt) < apartTime:
+		return withheldApart
+	}
+	return ""
+}
+
+// loadRose reports whether a rise of the load makes the orders late, and no able
+// host is much larger.
+func (j *lagJudge) loadRose(sample *lagSample) bool {
+	return sample.ordersOnly() && j.rate.now > 0 && float64(j.rate.now) >= rushShare*float64(j.rate.inTime) &&
+		!slices.ContainsFunc(sample.ableHosts(), func(host knownHost) bool { return host.milliCores >= largerHost*sample.milliCores })
+}
+
 // ableHosts returns the hosts that keep up and have at least this host's
 // processor time.
 func (s *lagSample) ableHosts() []knownHost {
--- a/internal/process/leader/lagwatch.go
+++ b/internal/process/leader/lagwatch.go
@@ -31,16 +31,17 @@
 	// unansweredAt is when a call to a worker was last left without an answer.
 	unansweredAt time.Time
 	reach        reachTest
-	// reported is the last outcome that was logged.
-	reported withheld
+	// reported holds the outcomes that were logged since a cause began.
+	reported map[withheld]bool
 }
 
 // began starts the measurement for a term.
 func (w *lagWatch) began(past map[resignCause]pastResignation, now time.Time) {
 	w.judge.restore(past, now)
 	w.judge.reset()
+	w.judge.rate = orderRate{}
 	w.judge.sampledAt, w.reach = now, reachTest{}
-	w.sampledAt, w.steppedAt, w.reported = now, now, ""
+	w.sampledAt, w.steppedAt, w.reported = now, now, map[withheld]bool{}
 	w.sample = lagSample{
 		began: now,
 	}
@@ -73,6 +74,19 @@
 	}
 }
 
+// orderCarried notes an order that was answered.
+func (w *lagWatch) orderCarried() {
+	w.sample.carried++
+}
+
+// late is how late the leader is, zero while it is not.
+func (w *lagWatch) late() time.Duration {
+	if w.judge.behind == 0 {
+		return 0
+	}
+	return w.judge.delay
+}
+
 // checkLag takes a sample once per tick and resigns if this host does not keep
 // up while another one does. It reports whether the term has ended.
 func (t *term) checkLag(ctx context.Context, now time.Time) bool {
@@ -94,13 +108,18 @@
 	}
 	watch.sampledAt = now
 	sample.at, sample.milliCores, sample.hosts = now, config.MilliCores, config.reports.recent(now)
+	sample.otherDelay, sample.otherEndedAt = t.moves.otherDelay(now), t.moves.otherEndedAt
 	t.addLinks(&sample)
+	wasLate := watch.late() > 0
 	verdict := watch.judge.judge(&sample)
+	if !wasLate && watch.late() > 0 {
+		t.moves.publishLate(now)
+	}
 	if watch.judge.isCutOff() {
 		t.sendProbe(sample.ableHosts(), now)
 	}
 	if verdict.cause == "" {
-		watch.reported = ""
+		clear(watch.reported)
 		return false
 	}
 	if !verdict.resigns() {
@@ -133,10 +152,10 @@
 // cause that lasts and each reason.
 func (t *term) logWithheld(sample *lagSample, verdict *lagVerdict) {
 	watch := &t.leader.lag
-	if watch.reported == verdict.withheld {
+	if watch.reported[verdict.withheld] {
 		return
 	}
-	watch.reported = verdict.withheld
+	watch.reported[verdict.withheld] = true
 	t.leader.config.Counts.Add("resignation_withheld_"+string(verdict.withheld), 1)
 	klog.InfoS("resignation withheld", append(t.lagFields(sample, verdict),
 		"reason", verdict.withheld, "next_in", max(0, verdict.nextAt.Sub(sample.at)))...)
@@ -147,6 +166,8 @@
 	return []any{
 		"shard", t.leader.config.Shard, "token", t.token, "cause", verdict.cause,
 		"loop", sample.loop, "events", sample.events, "orders", sample.orders, "renewal", sample.renewal,
+		"orders_per_s", t.leader.lag.judge.rate.now, "orders_per_s_in_time", t.leader.lag.judge.rate.inTime,
+		"other_late", sample.otherDelay,
 		"links", sample.links, "lost", sample.lost,
 		"cores", float64(sample.milliCores) / 1000, "hosts", len(sample.hosts),
 		"better", verdict.better.name, "better_cores", float64(verdict.better.milliCores) / 1000,
--- a/internal/process/leader/loads.go
+++ b/internal/process/leader/loads.go
@@ -13,6 +13,11 @@
 	"mustardreach.example/mustardreach/internal/process/store"
 )
 
+// loadKey is the key of a shard's load.
+func loadKey(number int) string {
+	return prefixLoads + strconv.Itoa(number)
+}
+
 // publishedLoad is the load of a shard and when it was read.
 type publishedLoad struct {
 	services map[string]shard.Load
@@ -27,7 +32,7 @@
 	for _, event := range view.Events {
 		if event.Removed {
 			if number, err := strconv.Atoi(strings.TrimPrefix(event.Key, prefixLoads)); err == nil {
-				delete(m.loads, number)
+				m.loadRemoved(number, now)
 			}
 			continue
 		}
@@ -35,6 +40,28 @@
 	}
 }
 
+func (m *moves) loadRemoved(number int, now time.Time) {
+	delete(m.loads, number)
+	if number != m.term.leader.config.Shard {
+		m.otherEndedAt = now
+	}
+}
+
+// otherDelay returns how late the latest leader of another shard is, as far as
+// recent loads say.
+func (m *moves) otherDelay(now time.Time) time.Duration {
+	worst := time.Duration(0)
+	for number, published := range m.loads {
+		if number == m.term.leader.config.Shard || now.Sub(published.readAt) > loadAge {
+			continue
+		}
+		for _, load := range published.services {
+			worst = max(worst, load.Late)
+		}
+	}
+	return worst
+}
+
 func (m *moves) observeLoad(item store.Item, now time.Time) {
 	number, err := strconv.Atoi(strings.TrimPrefix(item.Key, prefixLoads))
 	var services map[string]shard.Load
@@ -71,12 +98,25 @@
 	return out
 }
 
+// publishLate publishes the load of a leader that has begun to be late. Others
+// have to know before they are late for long enough to resign themselves.
+func (m *moves) publishLate(now time.Time) {
+	if m.term.leader.config.Shards > 1 {
+		m.publish(m.term.leader.board.Loads(now))
+	}
+}
+
 // publish writes the load under the lease of the lead key, so that it disappears
 // with the leadership. It is advisory: no condition and no retry.
 func (m *moves) publish(own map[string]shard.Load) {
 	if m.publishing {
 		return
 	}
+	late := m.term.leader.lag.late()
+	for service, load := range own {
+		load.Late = late
+		own[service] = load
+	}
 	value, err := cbor.Marshal(own)
 	if err != nil {
 		klog.ErrorS(err, "load cannot be encoded")
@@ -88,7 +128,7 @@
 		commit: store.Commit{
 			Set: []store.Write{
 				{
-					Key:   prefixLoads + strconv.Itoa(m.term.leader.config.Shard),
+					Key:   loadKey(m.term.leader.config.Shard),
 					Value: value,
 					Lease: m.term.lease,
 				},
--- a/internal/process/leader/moves.go
+++ b/internal/process/leader/moves.go
@@ -22,6 +22,9 @@
 	revisions map[string]int64
 	// loads holds the newest load of each other shard by service.
 	loads map[int]publishedLoad
+	// otherEndedAt is when the load of another shard was last seen to be removed,
+	// as its leader's term ended; zero if none was.
+	otherEndedAt time.Time
 	// unsettled holds the jobs whose move got no answer. No other job moves until
 	// it is known whether it took effect.
 	unsettled  []schedule.Move
--- a/internal/process/leader/resign.go
+++ b/internal/process/leader/resign.go
@@ -34,11 +34,15 @@
 
 // newResignation returns a resignation without a lead key and without a handover.
 func (l *Leader) newResignation() *resignation {
-	return &resignation{
+	leaving := &resignation{
 		store: l.config.Store,
 		keys:  l.config.Keys,
 		done:  make(chan struct{}),
 	}
+	if l.config.Shards > 1 {
+		leaving.load = loadKey(l.config.Shard)
+	}
+	return leaving
 }
 
 // handOver adds the lead key and the handover of the current term. Orders that have
--- a/internal/process/shard/balance.go
+++ b/internal/process/shard/balance.go
@@ -1,5 +1,7 @@
 package shard
 
+import "time"
+
 // Load is what a shard has of a service and what waits for it there, in
 // millicores.
 type Load struct {
@@ -14,6 +16,8 @@
 	WaitingFillers int64 `cbor:"5,keyasint,omitempty"`
 	// Labels are those of its workers.
 	Labels []string `cbor:"6,keyasint,omitempty"`
+	// Late is how late the shard's leader gives orders, zero while it is not behind.
+	Late time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // demand is the part of the capacity that is in use or asked for.
