--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		if w := b.chooseWorker(step, t, workers); w != nil {
-			b.start(w, j, step, t, b.nextRun(), now)
+			b.start(w, j, step, t, now)
 			continue
 		}
 		shortages.lacking = true
--- a/internal/process/schedule/downtime_test.go
+++ b/internal/process/schedule/downtime_test.go
@@ -7,21 +7,13 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"mustardreach.example/mustardreach/internal/request/work"
 )
 
-// lastingJob returns a long-running job.
-func lastingJob(id string, count int, milliCores int64) *work.Job {
-	step := tasks(count, milliCores)
-	step.LongRunning = true
-	return testJob(id, "plans", step)
-}
-
 // lastingRun returns a board on which the only task of a long-running job runs since
 // testStart, and its start.
 func lastingRun(t *testing.T, ids ...string) (*Board, Start) {
 	board := testBoard(ids...)
-	board.AddJob(lastingJob("a", 1, 1000), nil, false, testStart, testStart)
+	board.AddJob(testJob("a", "plans", running(1, 1000)), nil, false, testStart, testStart)
 	effects := decideAndSave(board, testStart)
 	require.Len(t, effects.Starts, 1)
 	accept(board, effects, testStart)
--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -71,10 +71,10 @@
 // capacity have to end first.
 const takesReservedAfter = rank.OverdueAfter
 
-// downSince is since when a long-running task that waits is down: the end of its last
+// entitledSince is since when a long-running task that waits is down: the end of its last
 // run or, if that was preempted, when its capacity is due to be returned. It is zero for
 // a task that was never started.
-func (t *task) downSince() time.Time {
+func (t *task) entitledSince() time.Time {
 	if t.wasPreempted() {
 		return t.endedAt.Add(returnAfter)
 	}
@@ -84,7 +84,7 @@
 // longDown reports whether a long-running task has waited so long that capacity
 // must not be kept from it.
 func (b *Board) longDown(step *stepState, t *task, now time.Time) bool {
-	return step.spec.LongRunning && !t.endedAt.IsZero() && now.Sub(t.downSince()) >= takesReservedAfter
+	return step.spec.LongRunning && !t.endedAt.IsZero() && now.Sub(t.entitledSince()) >= takesReservedAfter
 }
 
 // placeReturning starts the tasks of a long-running step whose capacity is being
@@ -103,7 +103,7 @@
 		}
 		w := b.workers[held.worker]
 		if w != nil && slices.Contains(pool, w) && j.account.Admits(step.spec.Size) && held.size.FitsIn(w.Capacity.Sub(w.used)) && b.eligible(w, step, t) {
-			b.start(w, j, step, t, b.nextRunOf(t), now)
+			b.start(w, j, step, t, now)
 		}
 	}
 }
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -188,7 +188,7 @@
 		case w != nil && preferred.waits(t, w):
 		case w != nil:
 			b.order.Started(&j.rank, b.taskWork(j, step.spec), now)
-			b.start(w, j, step, t, b.nextRunOf(t), now)
+			b.start(w, j, step, t, now)
 		case urgent:
 			shortages.lacking = true
 			b.reserve(j, step, t, pool, now)
@@ -272,7 +272,8 @@
 	return size
 }
 
-func (b *Board) start(w *workerState, j *job, step *stepState, t *task, run int64, now time.Time) {
+func (b *Board) start(w *workerState, j *job, step *stepState, t *task, now time.Time) {
+	run := b.nextRunOf(t)
 	b.startsLeft--
 	b.claim(w, j, step, t, run, now)
 	b.placed(j, step, t, w, now)
--- a/internal/process/shard/balance.go
+++ b/internal/process/shard/balance.go
@@ -1,5 +1,7 @@
 package shard
 
+import "time"
+
 // Load is what a shard has of a service and what waits for it there, in
 // millicores.
 type Load struct {
@@ -17,6 +19,8 @@
 	// Pieces are those of the usable workers with the most free cores, the largest
 	// first, up to MaxPieces.
 	Pieces []Piece `cbor:"8,keyasint,omitempty"`
+	// Late is how late the shard's leader gives orders, zero while it is not behind.
+	Late time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // demand is the part of the capacity that is in use or asked for.
