--- a/internal/process/schedule/downtime_test.go
+++ b/internal/process/schedule/downtime_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
 )
 
 // lastingRun returns a board on which the only task of a long-running job runs since
--- a/internal/process/schedule/shards_checks_test.go
+++ b/internal/process/schedule/shards_checks_test.go
@@ -189,6 +189,9 @@
 				Job:   spec.ID,
 				Index: i,
 			}
+			if sim.isInTransfer(key) {
+				continue
+			}
 			var owners []int
 			for _, leader := range sim.leaders {
 				if sim.owns(leader.board, key) {
--- a/internal/process/schedule/transfer.go
+++ b/internal/process/schedule/transfer.go
@@ -94,27 +94,13 @@
 func (b *Board) transferable(now time.Time) []transferCandidate {
 	var out []transferCandidate
 	for _, j := range b.open {
-		inFlight := j.partial && j.transfers > 0 // the last one takes the job along
-		mayMove := j.movable(now) && now.Sub(j.seen) < movesFirst
-		if !j.work.LongRunning() || inFlight || mayMove || b.jobReason(j) != NoReason {
+		if !b.mayTransfer(j, now) {
 			continue
 		}
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
-				if step.waiting == 0 || !step.spec.LongRunning || step.spec.Gang || !occ.ready(step, now) || !j.admits(step) {
-					continue
-				}
-				for _, t := range step.tasks {
-					since := latestOf(latestOf(j.seen, t.arrivedAt), occ.readySince(step, t))
-					if t.phase != waiting || t.departing || b.taskDoubt(t, j, now) || now.Sub(since) < transferAfter && !t.mustReturn(j) {
-						continue
-					}
-					out = append(out, transferCandidate{
-						job:   j,
-						step:  step,
-						task:  t,
-						since: since,
-					})
+				if step.waiting > 0 && step.spec.LongRunning && !step.spec.Gang && occ.ready(step, now) && j.admits(step) {
+					out = b.addTransferable(out, j, occ, step, now)
 				}
 			}
 		}
@@ -125,6 +111,36 @@
 	return out
 }
 
+// mayTransfer reports whether tasks of the job may leave. The last one of a job of
+// another shard takes the job along, so that only one leaves at a time.
+func (b *Board) mayTransfer(j *job, now time.Time) bool {
+	switch {
+	case !j.work.LongRunning(), j.partial && j.transfers > 0, j.movable(now) && now.Sub(j.seen) < movesFirst:
+		return false
+	}
+	return b.jobReason(j) == NoReason
+}
+
+// addTransferable adds the tasks of a step that have waited long enough.
+func (b *Board) addTransferable(out []transferCandidate, j *job, occ *occurrence, step *stepState, now time.Time) []transferCandidate {
+	for _, t := range step.tasks {
+		if t.phase != waiting || t.departing || b.taskDoubt(t, j, now) {
+			continue
+		}
+		since := latestOf(latestOf(j.seen, t.arrivedAt), occ.readySince(step, t))
+		if now.Sub(since) < transferAfter && !t.mustReturn(j) {
+			continue
+		}
+		out = append(out, transferCandidate{
+			job:   j,
+			step:  step,
+			task:  t,
+			since: since,
+		})
+	}
+	return out
+}
+
 // taskDoubt reports whether a run of the task may exist, or its start is delayed.
 func (b *Board) taskDoubt(t *task, j *job, now time.Time) bool {
 	return now.Before(t.notBefore) || b.doubt(j, t) != NoReason
