Log why each long-running task is down, beside what is free in the service

Cause: reasons existed only for jobs of which nothing runs. A long-running task that stayed down while others of its job ran had no line, and no line had what was free in its shard or in others. A run that a report lacks while it may lack ends too was taken to go on, and a task that the search for its step did not get to had no reason (none).

Change: WaitReport also has the long-running tasks that are down, from the same function. Those that have been down for a second get a "task waits" line, eight a second at most, with the size asked for, what is free in the shard and, by the published loads, in the service, in total and on one worker; "wait of task ended" follows. Those with room in the service go first. down_task_seconds_REASON counts them. New reasons: run_unlisted, for jobs too, and passed_over, which ends once the earlier task may use reserved capacity.

In TestEveryWaitHasAReason every task that is down has a reason with an end, and it fails if unlisted runs count as running or if only jobs without claims are looked at. It passes without passed_over, which the simulation reaches seldom; that has a test of its own.

--- a/internal/process/leader/loads.go
+++ b/internal/process/leader/loads.go
@@ -71,6 +71,20 @@
 	return out
 }
 
+// elsewhere returns the loads of the other shards that are recent enough, by service.
+func (t *term) elsewhere(now time.Time) map[string][]shard.Load {
+	out := map[string][]shard.Load{}
+	for number, published := range t.moves.loads {
+		if number == t.leader.config.Shard || now.Sub(published.readAt) > loadAge {
+			continue
+		}
+		for service, load := range published.services {
+			out[service] = append(out[service], load)
+		}
+	}
+	return out
+}
+
 // publish writes the load under the lease of the lead key, so that it disappears
 // with the leadership. It is advisory: no condition and no retry.
 func (m *moves) publish(own map[string]shard.Load) {
--- a/internal/process/leader/reasons_test.go
+++ b/internal/process/leader/reasons_test.go
@@ -79,7 +79,7 @@
 			Since: now.Add(-time.Minute),
 		}
 		longest = append(longest, waits)
-		followed.follow(waits)
+		followed.follow(waits.Job, waits)
 	}
 	assert.Len(t, longWaits(longest, now), maxLoggedWaits)
 	assert.Len(t, followed, maxFollowedWaits)
@@ -102,7 +102,7 @@
 		Reason: schedule.Quota,
 	}
 	followed := followedWaits{}
-	followed.follow(first)
+	followed.follow(first.Job, first)
 	next := first
 	next.Reason = schedule.NoWorker
 	assert.Empty(t, followed.update(map[string]schedule.Waiting{"a": next}))
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -61,7 +61,9 @@
 	// reportedWaits are the waits for preferred racks that were logged and counted.
 	reportedWaits schedule.WaitCounts
 	urgentCounts  schedule.UrgentCounts
+	// followedWaits are those of jobs, followedTasks those of long-running tasks.
 	followedWaits followedWaits
+	followedTasks followedWaits
 	waking        bool
 	moves         moves
 	quotas        quotas
--- a/internal/process/schedule/claimcause.go
+++ b/internal/process/schedule/claimcause.go
@@ -27,7 +27,7 @@
 
 // runs reports whether the run goes on as far as is known.
 func (c *claim) runs(w *workerState) bool {
-	return w.reachable && c.confirmed && c.stopping.IsZero() && c.barred.IsZero()
+	return w.reachable && c.confirmed && c.stopping.IsZero() && c.barred.IsZero() && c.unlistedSince.IsZero()
 }
 
 // claimReason names the next event of a claim that is not known to run.
@@ -43,6 +43,8 @@
 		return StopAccepted
 	case !held.stopping.IsZero():
 		return StopUnanswered
+	case held.confirmed && !held.unlistedSince.IsZero():
+		return RunUnlisted
 	}
 	return StopDue
 }
--- a/internal/process/schedule/explainer.go
+++ b/internal/process/schedule/explainer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -16,6 +17,12 @@
 	searches map[request]cause
 	rooms    map[request]int
 	orders   *dueOrders
+	// elsewhere holds the loads of the other shards by service, and otherRooms how often
+	// a request fits there.
+	elsewhere  map[string][]shard.Load
+	otherRooms map[request]int
+	// down holds the long-running tasks that were found to be down.
+	down []downTask
 	// takeovers holds the workers that are not accounted for, valid if counted is
 	// set.
 	takeovers []UnsettledWorker
@@ -44,11 +51,12 @@
 
 func newExplainer(b *Board, now time.Time) *explainer {
 	return &explainer{
-		board:    b,
-		now:      now,
-		pools:    map[poolKey]*poolView{},
-		searches: map[request]cause{},
-		rooms:    map[request]int{},
+		board:      b,
+		now:        now,
+		pools:      map[poolKey]*poolView{},
+		searches:   map[request]cause{},
+		rooms:      map[request]int{},
+		otherRooms: map[request]int{},
 	}
 }
 
@@ -92,14 +100,30 @@
 // hasRoom reports whether the workers of the service that are listed and stay have
 // free capacity for a task twice, or for all of its step if it is a gang.
 func (e *explainer) hasRoom(j *job, task work.TaskKey) bool {
-	const twice = 2
 	_, step, _ := j.find(task)
-	needed := twice
+	return e.room(j, step) >= twice(step)
+}
+
+// twice is how many tasks of the step there must be room for to have room twice.
+func twice(step *stepState) int {
+	const factor = 2
 	if step.spec.Gang {
-		needed *= len(step.tasks)
+		return factor * len(step.tasks)
 	}
+	return factor
+}
+
+// roomKey returns what the room for a task of a step depends on.
+func (e *explainer) roomKey(j *job, step *stepState) request {
 	key := e.requestOf(j, step, step.tasks[0])
 	key.starving, key.longDown = false, false
+	return key
+}
+
+// room returns how many tasks of a step fit on the workers of the service that are
+// listed and stay.
+func (e *explainer) room(j *job, step *stepState) int {
+	key := e.roomKey(j, step)
 	room, ok := e.rooms[key]
 	if !ok {
 		for _, w := range e.board.workers {
@@ -114,7 +138,7 @@
 		}
 		e.rooms[key] = room
 	}
-	return room >= needed
+	return room
 }
 
 // unsettled returns the workers that delay inherited jobs.
--- a/internal/process/schedule/reason.go
+++ b/internal/process/schedule/reason.go
@@ -60,6 +60,9 @@
 	// SizeRuledOut means that a worker has room, but the last decision did not
 	// search for it as a task of no larger size did not fit. Nothing ends it.
 	SizeRuledOut
+	// PassedOver means that a worker has room, but the last decision ended its search for
+	// the step at an earlier task, which may use less.
+	PassedOver
 
 	// The reasons below are states of the task's claim.
 
@@ -78,6 +81,9 @@
 	StopAccepted
 	// WorkerUnreachable means that the run may go on until its lease is over.
 	WorkerUnreachable
+	// RunUnlisted means that the newest report of the worker lacks the run and does not
+	// say that it has ended.
+	RunUnlisted
 	// ClaimInconsistent means that no order, answer, report or lease belongs to the
 	// claim. Nothing ends it.
 	ClaimInconsistent
@@ -114,6 +120,7 @@
 	SpreadLimit:       {"spread_limit", "run_end"},
 	StartsLimited:     {"starts_limited", "call_slot"},
 	SizeRuledOut:      {"size_ruled_out", ""},
+	PassedOver:        {"passed_over", ""},
 	StartUnanswered:   {"start_unanswered", "start_answer"},
 	StartRetry:        {"start_retry", "worker_report"},
 	PlacementUnsaved:  {"placement_unsaved", "store_write"},
@@ -121,6 +128,7 @@
 	StopDue:           {"stop_due", "stop"},
 	StopAccepted:      {"stop_accepted", "worker_report"},
 	WorkerUnreachable: {"worker_unreachable", "lease_end"},
+	RunUnlisted:       {"run_unlisted", "worker_report"},
 	ClaimInconsistent: {"claim_inconsistent", ""},
 }
 
--- a/internal/process/schedule/reasons_simulation_test.go
+++ b/internal/process/schedule/reasons_simulation_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"mustardreach.example/mustardreach/internal/request/work"
 )
 
 // reasonsOf returns why nothing of the open jobs runs, by job.
@@ -26,6 +28,7 @@
 // reason to wait with an end. decided is set right after a decision: then no job may
 // be without a reason.
 func (sim *simulation) requireReasons(decided bool) {
+	sim.requireDownReasons(decided)
 	reasons := sim.reasonsOf()
 	for _, id := range slices.Sorted(maps.Keys(sim.board.open)) {
 		j := sim.board.open[id]
@@ -47,6 +50,44 @@
 	}
 }
 
+// requireDownReasons checks that each long-running task which does not run although its
+// turn has come has a reason with an end, if its job was started, whatever else of the
+// job runs.
+func (sim *simulation) requireDownReasons(decided bool) {
+	report := sim.board.WaitReport(WaitRequest{
+		FollowsJob: followNone.FollowsJob,
+		MaxDown:    1000,
+	}, sim.now)
+	found, counted := map[work.TaskKey]DownTask{}, 0
+	for _, down := range report.LongestDown {
+		found[down.Task] = down
+	}
+	for _, count := range report.Down {
+		counted += count
+	}
+	require.Len(sim.t, found, counted)
+	for _, id := range slices.Sorted(maps.Keys(sim.board.open)) {
+		j := sim.board.open[id]
+		for _, t := range readyTasks(j, sim.now) {
+			down, ok := found[t.key]
+			delete(found, t.key)
+			if !j.work.LongRunning() || !j.everClaimed && !j.progress.Started || sim.board.hasRun(t) {
+				require.False(sim.t, ok, "%s runs, is quick or was not started, and is down for %s", t.key, down.Reason)
+				continue
+			}
+			require.True(sim.t, ok, "%s is down without a reason", t.key)
+			require.True(sim.t, down.Ends(), "nothing ends the wait of %s for %s; workers %v", t.key, down.Reason, down.Excluded.Words())
+			require.False(sim.t, down.Since.After(sim.now), "%s is down since %s", t.key, down.Since)
+			require.False(sim.t, down.Room && !down.ServiceRoom, "%s has room in the shard and none in the service", t.key)
+			if decided {
+				require.NotEqual(sim.t, NoReason, down.Reason, "%s could start, and the decision has not started it", t.key)
+				require.False(sim.t, down.isOver(sim.now), "the time is over that ends the wait of %s for %s", t.key, down.Reason)
+			}
+		}
+	}
+	require.Empty(sim.t, found, "tasks are down whose turn has not come")
+}
+
 // isOver reports whether the time is over that ends a wait.
 func (w *Waiting) isOver(now time.Time) bool {
 	return !w.Until.IsZero() && w.Until.Before(now) && w.Reason.Awaits() == ""
@@ -63,15 +104,15 @@
 	return out
 }
 
-// hasRun reports whether a worker that answers has confirmed a run of the task and
-// was not told to end it.
+// hasRun reports whether a worker that answers has confirmed a run of the task, was
+// not told to end it, and still lists it.
 func (b *Board) hasRun(t *task) bool {
 	w := b.workers[t.worker]
 	if t.phase != claimed || w == nil || w.claims[t.key] == nil {
 		return false
 	}
 	held := w.claims[t.key]
-	return held.run == t.run && held.confirmed && w.reachable && held.stopping.IsZero() && held.barred.IsZero()
+	return held.run == t.run && held.confirmed && w.reachable && held.stopping.IsZero() && held.barred.IsZero() && held.unlistedSince.IsZero()
 }
 
 // decideWithReasons decides, with checks of the reasons before and after the
@@ -240,11 +281,14 @@
 	}
 }
 
-// count adds the reasons of the waiting jobs.
+// count adds the reasons of the waiting jobs and of the tasks that are down.
 func (sim *simulation) count(seen *Reasons) {
 	for _, waits := range sim.reasonsOf() {
 		seen[waits.Reason]++
 	}
+	for reason, count := range sim.board.WaitReport(followNone, sim.now).Down {
+		seen[reason] += count
+	}
 }
 
 // words returns the counts that are not zero, by word.
--- a/internal/process/schedule/stepcause.go
+++ b/internal/process/schedule/stepcause.go
@@ -184,6 +184,25 @@
 	return current != nil && current.declinedAt.Equal(e.board.placement.newest)
 }
 
+// endsSearch reports whether placeStep tries no further task of the step once it has
+// found no worker for this one.
+func (s *stepCause) endsSearch(t *task, why cause) bool {
+	return !s.step.spec.Gang && s.step.spec.LongRunning && !t.endedAt.IsZero() && why.excluded != nil && why.reason != RackWait
+}
+
+// afterSearch returns the cause of a task which the search for the step did not get to
+// if it ended at an earlier one. That one may use no less once it has been down for long
+// itself.
+func (s *stepCause) afterSearch(ended *task, why cause) cause {
+	if ended == nil || why.reason != NoReason || !s.board.placement.newest.Equal(s.now) {
+		return why
+	}
+	return cause{
+		reason: PassedOver,
+		until:  ended.endedAt.Add(takesReservedAfter),
+	}
+}
+
 // ticketCause returns why a task that needs a ticket finds no worker.
 func (s *stepCause) ticketCause(t *task) cause {
 	advice, excluded := s.step.advice, s.view.excluded
--- a/internal/process/schedule/waiting.go
+++ b/internal/process/schedule/waiting.go
@@ -87,30 +87,37 @@
 	if found.runs || found.task == nil {
 		return Waiting{}, false
 	}
+	return e.waiting(j, found.task, found.cause, latestOf(latestOf(found.readySince, found.lastEnd), j.seen)), true
+}
+
+// waiting describes a task that has waited since a time. Whether there is room is left
+// to hasRoom.
+func (e *explainer) waiting(j *job, t *task, why cause, since time.Time) Waiting {
 	out := Waiting{
 		Job:          j.work.ID,
 		Queue:        j.work.Queue,
 		Service:      e.board.serviceOf(j),
 		Organisation: j.work.Organisation,
-		Task:         found.task.key,
-		Reason:       found.reason,
-		Until:        found.until,
-		Since:        latestOf(latestOf(found.readySince, found.lastEnd), j.seen),
-		Worker:       found.worker,
+		Task:         t.key,
+		Reason:       why.reason,
+		Until:        why.until,
+		Since:        since,
+		Worker:       why.worker,
 	}
-	if found.excluded != nil {
-		out.Excluded = *found.excluded
+	if why.excluded != nil {
+		out.Excluded = *why.excluded
 	}
-	if found.reason == Takeover {
+	if why.reason == Takeover {
 		out.Unsettled = len(e.unsettled())
 	}
-	return out, true
+	return out
 }
 
 // explainStep adds the tasks of a ready step.
 func (e *explainer) explainStep(j *job, occ *occurrence, step *stepState, found *jobCause, counts *Reasons) {
 	placing := newStepCause(e, j, step)
 	waits := false
+	var ended *task // at which the search for the step ends
 	for _, t := range step.tasks {
 		if t.phase == done {
 			continue
@@ -124,8 +131,13 @@
 			}
 		} else {
 			next = placing.of(t)
+			next = placing.afterSearch(ended, next)
+			if ended == nil && placing.endsSearch(t, next) {
+				ended = t
+			}
 		}
 		waits = true
+		e.noteDown(j, occ, step, t, next)
 		counts[next.reason]++
 		if found.task == nil || next.goesBefore(found.cause) {
 			found.cause, found.task = next, t
--- a/internal/process/schedule/waitreport.go
+++ b/internal/process/schedule/waitreport.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"mustardreach.example/mustardreach/internal/process/shard"
+	"mustardreach.example/mustardreach/internal/request/work"
 )
 
 // WaitReport sums up why tasks of ready steps do not run.
@@ -15,11 +18,28 @@
 	Longest []Waiting
 	// Followed has the jobs that were asked for and of which nothing runs.
 	Followed map[string]Waiting
+	// Down counts the long-running tasks that are down, by reason. LongestDown has those
+	// that have been down for longest, FollowedDown those that were asked for, by key.
+	Down         Reasons
+	LongestDown  []DownTask
+	FollowedDown map[string]Waiting
+}
+
+// WaitRequest selects what a WaitReport describes.
+type WaitRequest struct {
+	// FollowsJob and FollowsTask report whether a job or a long-running task is
+	// described, however short its wait.
+	FollowsJob  func(id string) bool
+	FollowsTask func(key work.TaskKey) bool
+	// LongestDown has up to MaxDown tasks that have been down for MinDown or longer.
+	MaxDown int
+	MinDown time.Duration
+	// Elsewhere holds the loads of the other shards, by service.
+	Elsewhere map[string][]shard.Load
 }
 
-// WaitReport returns why tasks wait now, and the jobs of which nothing runs among
-// those that are followed. It goes through all open jobs.
-func (b *Board) WaitReport(followed func(id string) bool, now time.Time) WaitReport {
+// WaitReport returns why tasks wait now. It goes through all open jobs.
+func (b *Board) WaitReport(asked WaitRequest, now time.Time) WaitReport {
 	type group struct {
 		service, organisation string
 	}
@@ -28,12 +48,13 @@
 	}
 	longest := map[group]Waiting{}
 	shared := newExplainer(b, now)
+	shared.elsewhere = asked.Elsewhere
 	for _, j := range b.open {
 		next, waits := shared.explain(j, &out.Tasks)
 		if !waits {
 			continue
 		}
-		if followed(next.Job) {
+		if asked.FollowsJob(next.Job) {
 			out.Followed[next.Job] = next
 		}
 		key := group{
@@ -51,6 +72,7 @@
 		out.Longest = append(out.Longest, next)
 	}
 	slices.SortFunc(out.Longest, compareWaiting)
+	shared.reportDown(&out, asked)
 	return out
 }
 
--- a/internal/process/schedule/waitreport_test.go
+++ b/internal/process/schedule/waitreport_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-func followNone(string) bool {
-	return false
+var followNone = WaitRequest{
+	FollowsJob: func(string) bool { return false },
 }
 
 // Guards against a line about a job that waits for want of capacity, and against
@@ -27,7 +27,9 @@
 	}
 	now := testStart.Add(10 * time.Second)
 	board.Decide(now, false)
-	report := board.WaitReport(func(id string) bool { return id == "d" }, now)
+	report := board.WaitReport(WaitRequest{
+		FollowsJob: func(id string) bool { return id == "d" },
+	}, now)
 	require.Len(t, report.Longest, 1)
 	assert.Equal(t, "a", report.Longest[0].Job)
 	assert.Equal(t, testStart, report.Longest[0].Since)
