--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// downTask is a long-running task that waits after a run.
-type downTask struct {
+// restart is a long-running task that waits after a run.
+type restart struct {
 	job  *job
 	step *stepState
 	*task
@@ -29,7 +29,7 @@
 // ones that were never started take each piece that comes free, also the one that the
 // run has left.
 func (b *Board) placeDown(known *pools, now time.Time) {
-	for _, next := range b.downTasks(now) {
+	for _, next := range b.restarting(now) {
 		if b.startsLeft <= 0 {
 			return
 		}
@@ -53,11 +53,11 @@
 	}
 }
 
-// downTasks returns the tasks that are down and may start, the one that has been down
+// restarting returns the tasks that are down and may start, the one that has been down
 // for longest first: it may use the most capacity, so that none of the others fits
 // where it does not.
-func (b *Board) downTasks(now time.Time) []downTask {
-	var out []downTask
+func (b *Board) restarting(now time.Time) []restart {
+	var out []restart
 	for _, j := range b.open {
 		if !j.rank.LongRunning || j.left == j.claims || b.jobReason(j) != NoReason {
 			continue
@@ -69,7 +69,7 @@
 				}
 				for _, t := range step.tasks {
 					if step.restarts(t) && b.startable(j, t, now) {
-						out = append(out, downTask{
+						out = append(out, restart{
 							job:  j,
 							step: step,
 							task: t,
@@ -79,7 +79,7 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, c downTask) int {
+	slices.SortFunc(out, func(a, c restart) int {
 		return cmp.Or(a.endedAt.Compare(c.endedAt), compareKeys(a.key, c.key))
 	})
 	return out
