Compare loads of the same time, and long-running work apart

What callers saw: a long-running task was down for over 9 s in a shard whose cores were all booked, with thousands of cores free in the next one.

Cause: leaders compared their newest load with loads of the others that were up to half a second old, and let long-running jobs start after one such round. While a fleet fills, each finds a surplus in its own shard, and moves cross each other.

Change: shard.Rounds: a leader that sees the load of another one publishes its own in the same round, and decides once all loads of the round are here or after 0.25 s, with its own load as published. Work on its way counts to its target. A long-running job starts once a round on loads that are newer than its arrival has left it here, or after 1.5 s. Long-running work is compared apart (shard.Load.LongRunning, field 7), and to 0.01 of the capacity, as it does not even out by itself.

Ruled out: loads published more often. Each leader would still compare its newest load with older ones, by less. Left: a leader of an earlier release does not publish field 7, and its shard gets long-running jobs as if it had none until it is replaced.

--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"mustardreach.example/mustardreach/internal/process/schedule"
+	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/process/store"
 )
 
@@ -208,10 +209,10 @@
 	// learnedInterval is how often the learned state is saved. It is the most
 	// that is lost when a leader dies.
 	learnedInterval = 2 * time.Second
-	// balanceInterval is how often a leader publishes its load and moves jobs;
-	// loadsReadGap is the pause between two reads of the loads. A load older than
+	// balanceInterval is how often a leader publishes its load and moves jobs, when
+	// no other leader begins a round earlier; loadsReadGap is the pause between two reads of the loads. A load older than
 	// loadAge is not used.
-	balanceInterval = 500 * time.Millisecond
+	balanceInterval = shard.RoundInterval
 	loadsReadGap    = 100 * time.Millisecond
 	loadAge         = 2 * time.Second
 	// quotaInterval is how often a leader revises its parts of limits, besides
--- a/internal/process/leader/loads.go
+++ b/internal/process/leader/loads.go
@@ -42,6 +42,7 @@
 
 func (m *moves) loadRemoved(number int, now time.Time) {
 	delete(m.loads, number)
+	m.rounds.Removed(number)
 	if number != m.term.leader.config.Shard {
 		m.otherEndedAt = now
 	}
@@ -76,9 +77,11 @@
 		services: services,
 		readAt:   now,
 	}
+	m.rounds.Received(number, now)
 }
 
-// byService returns the loads that are recent enough, by service and shard.
+// byService returns the loads that are recent enough, with what was sent there
+// since, by service and shard.
 func (m *moves) byService(own map[string]shard.Load, now time.Time) map[string]map[int]shard.Load {
 	out := map[string]map[int]shard.Load{}
 	add := func(number int, services map[string]shard.Load) {
@@ -86,7 +89,7 @@
 			if out[service] == nil {
 				out[service] = map[int]shard.Load{}
 			}
-			out[service][number] = load
+			out[service][number] = m.rounds.AddSent(number, service, load)
 		}
 	}
 	for number, published := range m.loads {
--- a/internal/process/leader/moves.go
+++ b/internal/process/leader/moves.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"mustardreach.example/mustardreach/internal/process/schedule"
+	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/process/store"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
@@ -27,8 +28,11 @@
 	otherEndedAt time.Time
 	// unsettled holds the jobs whose move got no answer. No other job moves until
 	// it is known whether it took effect.
-	unsettled  []schedule.Move
-	balancedAt time.Time
+	unsettled []schedule.Move
+	// rounds says when loads are published and moves are decided on, and inTransit
+	// holds the work on its way by job.
+	rounds    shard.Rounds
+	inTransit map[string]*shard.Transit
 	// publishing and probing are set while that call is in flight.
 	publishing, probing bool
 }
@@ -38,18 +42,29 @@
 		term:      t,
 		revisions: result.createRevisions,
 		loads:     map[int]publishedLoad{},
+		rounds: shard.Rounds{
+			Own:    t.leader.config.Shard,
+			Shards: t.leader.config.Shards,
+		},
+		inTransit: map[string]*shard.Transit{},
 	}
 }
 
-// balance publishes this shard's load and moves jobs at intervals.
+// balance publishes this shard's load and moves jobs in rounds.
 func (m *moves) balance(now time.Time) {
 	config := &m.term.leader.config
-	if config.Shards <= 1 || m.term.unoccupied || now.Sub(m.balancedAt) < balanceInterval {
+	if config.Shards <= 1 || m.term.unoccupied {
 		return
 	}
-	m.balancedAt = now
-	own := m.term.leader.board.Loads(now)
-	m.publish(own)
+	if m.rounds.PublishDue(now) {
+		own := m.term.leader.board.Loads(now)
+		m.publish(own)
+		m.rounds.Published(own, now)
+	}
+	if !m.rounds.DecideDue(now) {
+		return
+	}
+	own, since := m.rounds.Decide()
 	if len(m.unsettled) > 0 {
 		m.probe()
 		return
@@ -57,7 +72,7 @@
 	if !now.Before(m.term.actUntil) {
 		return
 	}
-	m.send(m.term.leader.board.Moves(config.Shard, m.byService(own, now), now))
+	m.send(m.term.leader.board.MovesSince(config.Shard, m.byService(own, now), since, now))
 }
 
 // send commits the moves, a few jobs a commit.
@@ -71,6 +86,7 @@
 		for _, move := range batch {
 			if m.addTo(&commit, move) {
 				sent = append(sent, move)
+				m.depart(&move)
 			}
 		}
 		m.term.writer.add(&pendingCommit{
@@ -80,6 +96,19 @@
 	}
 }
 
+// depart counts a move to the load of its target until that has it.
+func (m *moves) depart(move *schedule.Move) {
+	transit := &shard.Transit{
+		To:          move.To,
+		Service:     move.Service,
+		MilliCores:  move.MilliCores,
+		Filler:      move.Filler,
+		LongRunning: move.Job.LongRunning(),
+	}
+	m.inTransit[move.Job.ID] = transit
+	m.rounds.Sent(transit)
+}
+
 func (m *moves) addTo(commit *store.Commit, move schedule.Move) bool {
 	id, config := move.Job.ID, &m.term.leader.config
 	value, err := work.EncodeJob(move.Job)
@@ -165,13 +194,17 @@
 func (m *moves) finish(batch []schedule.Move, moved bool, err error, now time.Time) {
 	board := m.term.leader.board
 	for _, move := range batch {
+		transit := m.inTransit[move.Job.ID]
+		delete(m.inTransit, move.Job.ID)
 		if moved {
+			m.rounds.Arrived(transit, now)
 			board.Departed(move.Job.ID)
 			m.term.removed.add(move.Job.ID, m.revisions[move.Job.ID], now)
 			delete(m.revisions, move.Job.ID)
 			m.term.owners.remove(move.Job.ID)
 			m.term.leader.config.Counts.Add("jobs_moved", 1)
 		} else {
+			m.rounds.Returned(transit)
 			board.Stay(move.Job.ID)
 		}
 		klog.InfoS("job moved", "job", move.Job.ID, "from", m.term.leader.config.Shard, "to", move.To,
--- a/internal/process/leader/moves_test.go
+++ b/internal/process/leader/moves_test.go
@@ -160,7 +160,7 @@
 			for number := range 2 {
 				held := make(chan struct{})
 				first.leaders[number].post(func(now time.Time) {
-					first.leaders[number].term.moves.balancedAt = now.Add(time.Hour)
+					first.leaders[number].term.moves.rounds.Published(nil, now.Add(time.Hour))
 					close(held)
 				})
 				<-held
--- a/internal/process/schedule/moves.go
+++ b/internal/process/schedule/moves.go
@@ -12,14 +12,22 @@
 type Move struct {
 	Job *work.Job
 	To  int
-	// MilliCores is what its waiting tasks ask for.
+	// Service is the one that runs the job, and MilliCores what its waiting tasks
+	// ask for.
+	Service    string
 	MilliCores int64
+	// Filler is set if most of that is for fillers.
+	Filler bool
 }
 
 const (
 	// moveDelay is how long a job waits before it may move: the next decisions
 	// may place it.
 	moveDelay = 150 * time.Millisecond
+	// maxBalanceHold limits how long a long-running job waits for a round of moves:
+	// two rounds, and the time until the loads of others are here. A load that is
+	// missing must not hold it for longer.
+	maxBalanceHold = 1500 * time.Millisecond
 	// maxMoves limits the moves of one round, each of which is a few writes to
 	// the store.
 	maxMoves = 40
@@ -43,6 +51,12 @@
 		}
 		loads[w.Service] = load
 	}
+	for _, w := range b.workers {
+		if load, ok := loads[w.Service]; ok {
+			load.LongRunning += w.longRunningCores()
+			loads[w.Service] = load
+		}
+	}
 	for _, j := range b.open {
 		if j.departing || j.left == j.claims {
 			continue
@@ -51,6 +65,9 @@
 		load := loads[b.serviceOf(j)]
 		load.Waiting += firm
 		load.WaitingFillers += fillers
+		if j.work.LongRunning() {
+			load.LongRunning += firm
+		}
 		loads[b.serviceOf(j)] = load
 	}
 	for service, load := range loads {
@@ -60,6 +77,17 @@
 	return loads
 }
 
+// longRunningCores is what the worker's long-running tasks claim, in millicores.
+func (w *workerState) longRunningCores() int64 {
+	cores := int64(0)
+	for _, held := range w.claims {
+		if held.longRunning && !held.orphaned {
+			cores += held.size.MilliCores
+		}
+	}
+	return cores
+}
+
 // waitingCores returns what the tasks that could start ask for, in millicores.
 func (j *job) waitingCores(now time.Time) (firm, fillers int64) {
 	for _, occ := range j.occurrences {
@@ -85,7 +113,16 @@
 // then start them without waiting for workers of this one. The jobs picked are
 // not started here until Stay is called.
 func (b *Board) Moves(own int, loads map[string]map[int]shard.Load, now time.Time) []Move {
-	candidates := b.ranked(func(j *job) bool { return j.movable(now) }, now)
+	return b.MovesSince(own, loads, now, now)
+}
+
+// MovesSince is Moves with loads of which some were computed before now: all of them
+// have the jobs that were known to their leaders at since. A held job that came later
+// is left for the next round.
+func (b *Board) MovesSince(own int, loads map[string]map[int]shard.Load, since, now time.Time) []Move {
+	candidates := b.ranked(func(j *job) bool {
+		return j.movable(now) && (!j.seen.After(since) || !b.held(j) || now.Sub(j.seen) >= maxBalanceHold)
+	}, now)
 	budgets := map[budgetKey]map[int]int64{}
 	var out []Move
 	for _, j := range candidates {
@@ -97,11 +134,12 @@
 			continue
 		}
 		key := budgetKey{
-			service: b.serviceOf(j),
-			filler:  fillers > firm,
+			service:     b.serviceOf(j),
+			filler:      fillers > firm,
+			longRunning: j.work.LongRunning(),
 		}
 		if _, ok := budgets[key]; !ok {
-			budgets[key] = shard.Budgets(loads[key.service], own, key.filler)
+			budgets[key] = key.budgets(loads[key.service], own)
 		}
 		j.balanced = true
 		target, ok := chooseShard(j, budgets[key], firm+fillers, loads[key.service], own)
@@ -115,15 +153,24 @@
 		out = append(out, Move{
 			Job:        j.work,
 			To:         target,
+			Service:    key.service,
 			MilliCores: firm + fillers,
+			Filler:     key.filler,
 		})
 	}
 	return out
 }
 
 type budgetKey struct {
-	service string
-	filler  bool
+	service             string
+	filler, longRunning bool
+}
+
+func (k budgetKey) budgets(loads map[int]shard.Load, own int) map[int]int64 {
+	if k.longRunning {
+		return shard.LongRunningBudgets(loads, own)
+	}
+	return shard.Budgets(loads, own, k.filler)
 }
 
 // movable reports whether the job may move: no task of it was ever started, and
@@ -160,12 +207,14 @@
 	return true
 }
 
-// held reports whether a job waits for a round of moves. Load pattern: hundreds
+// held reports whether a job waits for a round of moves on loads that are newer than
+// its arrival. Load pattern: hundreds
 // of long-running jobs arrive within seconds and take most of the capacity for
 // minutes. Chance gives some shards more than they can hold; a task that fails
 // there finds no room again while other shards have it.
 func (b *Board) held(j *job) bool {
-	return b.config.HoldsLongRunning && !j.balanced && j.work.LongRunning() && j.neverStarted()
+	return b.config.HoldsLongRunning && !j.balanced && j.work.LongRunning() &&
+		b.now.Sub(j.seen) < maxBalanceHold && j.neverStarted()
 }
 
 // Arrived marks a job that was moved here: it is not held again.
--- a/internal/process/schedule/moves_test.go
+++ b/internal/process/schedule/moves_test.go
@@ -181,6 +181,43 @@
 	assert.Equal(t, 1, board.jobs["b"].claims)
 }
 
+// A round on loads that are older than a long-running job says nothing about it: all
+// leaders of a fleet that fills would let theirs start. But a load that never comes
+// must not keep the job from its start.
+func TestLongRunningJobsWaitForCurrentLoads(t *testing.T) {
+	loads := loadsOf(testStart, testBoard("w0"), testBoard("w1"))
+	board := testBoard("w0")
+	board.config.HoldsLongRunning = true
+	board.AddJob(longRunningJob("b"), nil, false, testStart, testStart)
+	for now := testStart; now.Sub(testStart) < maxBalanceHold; now = now.Add(simulationStep) {
+		board.MovesSince(0, loads, testStart.Add(-time.Millisecond), now)
+		board.Decide(now, true)
+		require.Zero(t, board.jobs["b"].claims)
+	}
+	board.Decide(testStart.Add(maxBalanceHold), true)
+	assert.Equal(t, 1, board.jobs["b"].claims)
+}
+
+// Quick tasks come and go, long-running ones stay for the day. A shard that is full
+// of quick tasks when they arrive must not pass them to one that has the most of them.
+func TestLongRunningJobsIgnoreQuickTasks(t *testing.T) {
+	now := testStart.Add(2 * moveDelay)
+	busy, longRunning := testBoard("w0", "w1"), testBoard("w2", "w3", "w4", "w5")
+	busy.AddJob(testJob("a", "quotes", tasks(2, 8000)), nil, false, testStart, testStart)
+	accept(busy, busy.Decide(testStart, true), testStart)
+	longRunning.AddJob(longRunningJob("c"), nil, false, testStart, testStart)
+	decideAndSave(longRunning, testStart)
+	accept(longRunning, longRunning.Decide(testStart, true), testStart)
+	require.Equal(t, int64(8000), longRunning.Loads(now)["workshop"].LongRunning)
+	busy.config.HoldsLongRunning = true
+	half := longRunningJob("b")
+	half.Steps[0].Size.MilliCores = 4000
+	busy.AddJob(half, nil, false, testStart, testStart)
+	assert.Empty(t, movesOf(now, busy, longRunning))
+	busy.AddJob(longRunningJob("d"), nil, false, testStart, testStart)
+	assert.NotEmpty(t, movesOf(now, busy, longRunning), "more long-running work than in the other shard")
+}
+
 // A job on its way is not started here: the other shard may start it already.
 func TestDepartingJobIsNotStarted(t *testing.T) {
 	now := testStart.Add(2 * moveDelay)
