Keep an earlier release from starting a transferred task, and count refusals out

A leader of an earlier release that takes over reads no locations: it would start a second run of a task that is in another shard. The progress record lists such a task among those that are done. Found by reading.

A refused start began the wait of a task that is down anew, so that it was transferred, and given reserved capacity, later with each refusal. What counts is the end of its last run. TestRefusedStartsDoNotDelayATransfer failed before.

--- a/internal/process/leader/transfers.go
+++ b/internal/process/leader/transfers.go
@@ -72,6 +72,7 @@
 		}
 		t.locate(key, stored)
 	}
+	board.LocationsKnown()
 }
 
 func (t *transfers) note(job, key string, revision int64) {
--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -80,7 +80,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, c restart) int {
-		return cmp.Or(a.endedAt.Compare(c.endedAt), compareKeys(a.key, c.key))
+		return cmp.Or(a.absentSince().Compare(c.absentSince()), compareKeys(a.key, c.key))
 	})
 	return out
 }
--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -78,7 +78,16 @@
 	if t.wasPreempted() {
 		return t.endedAt.Add(returnAfter)
 	}
-	return t.endedAt
+	return t.absentSince()
+}
+
+// absentSince is when the task's last run ended. A start that was refused since does not
+// count. It is zero if this leader knows of no run.
+func (t *task) absentSince() time.Time {
+	if t.downSince.IsZero() {
+		return t.endedAt
+	}
+	return t.downSince
 }
 
 // longDown reports whether a long-running task has waited so long that capacity
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -19,10 +19,14 @@
 	claimed
 	// done tasks never start again.
 	done
-	// elsewhere tasks belong to another shard, whose leader alone starts them.
+	// elsewhere tasks belong to another shard, whose leader alone starts them. They are
+	// long-running, so that the progress record has them among those that are done.
 	elsewhere
 )
 
+// unknownShard is that of a task that is elsewhere, until its location is known.
+const unknownShard = -1
+
 // task is one task of one occurrence.
 type task struct {
 	key   work.TaskKey
@@ -272,7 +276,12 @@
 		for _, step := range occ.steps {
 			for _, t := range step.tasks {
 				t.restore(progress, number)
-				if number/8 < len(progress.Done) && progress.Done[number/8]&(1<<(number%8)) != 0 {
+				switch {
+				case number/8 >= len(progress.Done) || progress.Done[number/8]&(1<<(number%8)) == 0:
+				case step.spec.LongRunning:
+					step.waiting--
+					t.phase, t.shard = elsewhere, unknownShard
+				default:
 					j.finish(occ, step, t)
 				}
 				number++
@@ -340,12 +349,10 @@
 				if number%8 == 0 {
 					bits = append(bits, 0)
 				}
-				switch t.phase {
-				case done:
+				if t.phase == done || t.phase == elsewhere {
+					// A leader of an earlier release must not start what is elsewhere.
 					bits[number/8] |= 1 << (number % 8)
-				case elsewhere:
-					// The record is in the other shard.
-				default:
+				} else {
 					t.save(&out, number, step.spec)
 				}
 				number++
--- a/internal/process/schedule/transfer.go
+++ b/internal/process/schedule/transfer.go
@@ -127,7 +127,7 @@
 		if t.phase != waiting || t.departing || b.taskDoubt(t, j, now) {
 			continue
 		}
-		since := latestOf(latestOf(j.seen, t.arrivedAt), occ.readySince(step, t))
+		since := latestOf(latestOf(j.seen, t.arrivedAt), latestOf(occ.readySince(step, &task{}), t.absentSince()))
 		if now.Sub(since) < transferAfter && !t.mustReturn(j) {
 			continue
 		}
@@ -172,7 +172,7 @@
 		out.Last = j.count(elsewhere) == j.count()-1
 	}
 	if !t.endedAt.IsZero() {
-		out.Task.Down = now.Sub(t.endedAt)
+		out.Task.Down = now.Sub(t.absentSince())
 	}
 	t.phase = elsewhere
 	out.Progress = j.snapshot()
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -215,3 +215,37 @@
 	from.TakenBack(returned, true, now)
 	assert.False(t, from.IsOpen("a"), "the job goes on with a task that crashes its workers")
 }
+
+// A worker that refuses a task again and again does not keep it from another shard: the
+// time that it is down goes on.
+func TestRefusedStartsDoNotDelayATransfer(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	board := downBoard(t)
+	_, _, down := board.jobs["a"].find(firstTask("a"))
+	down.downSince, down.endedAt = testStart, now.Add(-time.Millisecond)
+	transfers := transfersOf(now, board, testBoard("w1"))
+	require.Len(t, transfers, 1)
+	assert.Equal(t, 2*transferAfter, transfers[0].Task.Down)
+}
+
+// A leader of an earlier release does not read where tasks are: the progress record keeps
+// it from starting a second run of one that is in another shard.
+func TestEarlierReleaseDoesNotStartATransferredTask(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	transfers := transfersOf(now, downBoard(t), testBoard("w1"))
+	require.Len(t, transfers, 1)
+	assert.Equal(t, []byte{1}, transfers[0].Progress.Done)
+}
+
+// A progress record without a location of the task, which no commit leaves behind, must
+// not keep the task from running for good.
+func TestTaskWithoutALocationStartsInItsShard(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	transfers := transfersOf(now, downBoard(t), testBoard("w1"))
+	require.Len(t, transfers, 1)
+	successor := testBoard("w0")
+	successor.AddJob(transfers[0].Task.Job, &transfers[0].Progress, true, now, now)
+	successor.LocationsKnown()
+	successor.TrustPlacements()
+	assert.Len(t, decideAndSave(successor, now).Starts, 1)
+}
--- a/internal/process/schedule/transferred.go
+++ b/internal/process/schedule/transferred.go
@@ -74,7 +74,7 @@
 func (t *task) restoreTransferred(checkpoint string, crashes []int64, lastRun int64, down time.Duration, now time.Time) {
 	t.checkpoint, t.crashes, t.lastRun = checkpoint, slices.Clone(crashes), lastRun
 	if down > 0 {
-		t.endedAt = now.Add(-down)
+		t.endedAt, t.downSince = now.Add(-down), now.Add(-down)
 	}
 }
 
@@ -97,6 +97,22 @@
 	}
 }
 
+// LocationsKnown says that Locate was called for every task that is in another shard.
+func (b *Board) LocationsKnown() {
+	for _, j := range b.open {
+		for _, occ := range j.occurrences {
+			for _, step := range occ.steps {
+				for _, t := range step.tasks {
+					if !j.partial && t.phase == elsewhere && t.shard == unknownShard {
+						t.phase = waiting
+						step.waiting++
+					}
+				}
+			}
+		}
+	}
+}
+
 // Return is a task that has come back to the shard of its job and is taken back by the
 // commit that writes Progress.
 type Return struct {
