Keep capacity for a long-running task that is down

Callers see: a long-running task that is down in a full shard waits for many seconds although the long-running tasks alone leave room for it on some worker: quick tasks last for seconds only, but each takes a part of what comes free, so that the whole is never free at once.

Cause: nothing keeps capacity for such a task. Only a preempted one gets back the place that it had.

Change: a task that has been down for 1 s and fits nowhere gets capacity kept on the worker that long-running claims leave room on and where quick runs are expected to have ended first. It ends with the start, a second after the expected time (then a worker is chosen anew), and when the task or the worker may not be used, or the job departs. A quarter of the workers of a pool at most, one at least, have such a reservation. A task that takes reserved capacity after 2 s doesn't take that of another one that is down. A piece of a quick task that is done is not passed on where capacity is kept so.

Ruled out: reservations without a limit in number. After the loss of a zone they would cover all workers, and no quick task would start.

--- a/internal/process/schedule/async_checks_test.go
+++ b/internal/process/schedule/async_checks_test.go
@@ -16,9 +16,12 @@
 // requireConsistent checks that all totals of a board equal the sums that they
 // stand for.
 func requireConsistent(t require.TestingT, b *Board) {
-	reserved := map[string]worker.Size{}
+	reserved, kept := map[string]worker.Size{}, map[string]worker.Size{}
 	for _, held := range b.reservations {
 		reserved[held.worker] = reserved[held.worker].Add(held.size)
+		if held.restart {
+			kept[held.worker] = kept[held.worker].Add(held.size)
+		}
 	}
 	accounts := map[*quota.Account]worker.Size{}
 	for id, w := range b.workers {
@@ -41,6 +44,7 @@
 		requireSame(t, sums.idle, w.idle, "idle on", id)
 		requireSame(t, sums.suspicion, w.suspicion, "suspicion on", id)
 		requireSame(t, reserved[id], w.reserved, "reserved on", id)
+		requireSame(t, kept[id], w.keptForRestarts, "kept for restarts on", id)
 		requireSame(t, true, maps.Equal(sums.serving, w.serving), "serving on", id)
 		requireSame(t, true, maps.Equal(sums.steps, w.steps), "steps on", id)
 		requireSame(t, true, maps.Equal(sums.fillers, w.fillers), "fillers on", id)
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -98,6 +98,7 @@
 	reservations map[work.TaskKey]reservation
 	// reservationsLeft is how many more reservations this decision may make.
 	reservationsLeft int
+	keeps            restartKeeps
 	urgentCapacity   *urgentCapacity
 	estimates        *estimates
 	// order ranks the waiting jobs, and shortAt is when each service last lacked
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -47,7 +47,7 @@
 
 // fits reports whether the task may run on the worker beside what is claimed and
 // reserved there. A long-running task that has been down for long takes reserved
-// capacity too.
+// capacity too, but for what is kept for other such tasks.
 func (b *Board) fits(w *workerState, step *stepState, t *task) bool {
 	return b.misfit(w, step, t) == NotExcluded
 }
@@ -56,7 +56,7 @@
 func (b *Board) misfit(w *workerState, step *stepState, t *task) Exclusion {
 	free := w.free()
 	if b.longDown(step, t, b.now) {
-		free = w.Capacity.Sub(w.used)
+		free = w.Capacity.Sub(w.used).Sub(w.keptForRestarts)
 	}
 	if !reservedSize(step.spec).FitsIn(free) {
 		return InsufficientCapacity
--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -4,6 +4,10 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/process/locality"
+	"mustardreach.example/mustardreach/internal/request/work"
 )
 
 // downTask is a long-running task that waits after a run.
@@ -29,6 +33,9 @@
 // ones that were never started take each piece that comes free, also the one that the
 // run has left.
 func (b *Board) placeDown(known *pools, now time.Time) {
+	if now.Sub(b.keeps.since) >= scanInterval {
+		b.keeps = newRestartKeeps(now)
+	}
 	for _, next := range b.downTasks(now) {
 		if b.startsLeft <= 0 {
 			return
@@ -41,16 +48,158 @@
 		if queue := b.catalog.Queues[j.work.Queue]; queue.RequiresTicket && len(workers) > 0 {
 			workers, shortages = b.admitted(queue, step, workers, now), newShortage()
 		}
-		if shortages.rulesOut(step.spec) || b.preference(j, step, workers, now).groupWaits() {
+		if b.preference(j, step, workers, now).groupWaits() {
 			continue
 		}
-		if w := b.chooseWorker(step, t, workers); w != nil {
+		if w := b.restartWorker(step, t, workers, shortages); w != nil {
 			b.start(w, j, step, t, b.nextRun(), now)
 			continue
 		}
 		shortages.lacking = true
+		if now.Sub(t.endedAt) >= keptAfter {
+			b.keepForRestart(next, workers, now)
+		}
+	}
+}
+
+// restartWorker returns the worker that a task which is down would run on now, nil if
+// there is none: first that on which capacity is kept for it.
+func (b *Board) restartWorker(step *stepState, t *task, pool []*workerState, shortages *shortage) *workerState {
+	if held, ok := b.reservations[t.key]; ok {
+		if w := b.reservedWorker(held, step, t, pool); w != nil {
+			return w
+		}
+	}
+	if shortages.rulesOut(step.spec) {
+		return nil
+	}
+	w := b.chooseWorker(step, t, pool)
+	if w == nil {
 		shortages.record(step.spec)
 	}
+	return w
+}
+
+const (
+	// keptAfter is how long a task is down before capacity is kept for it. Most tasks
+	// find a piece within it that has come free by itself.
+	keptAfter = time.Second
+	// keptShare is the part of the workers of a pool on which capacity may be kept for
+	// tasks that are down, one worker at least: after the loss of a zone, quick tasks go
+	// on starting on the others.
+	keptShare = 4
+	// keepSearches limits the searches for a worker to keep capacity on, each of which
+	// goes through all runs, within a scanInterval.
+	keepSearches = 6
+)
+
+// restartKeeps limits the searches for workers on which to keep capacity for tasks that
+// are down.
+type restartKeeps struct {
+	// since is when the counts below began.
+	since time.Time
+	left  int
+	// failed holds, by service, the sizes for which there is no such worker.
+	failed map[string]*shortage
+}
+
+func newRestartKeeps(now time.Time) restartKeeps {
+	return restartKeeps{
+		since:  now,
+		left:   keepSearches,
+		failed: map[string]*shortage{},
+	}
+}
+
+// keepForRestart keeps capacity for a task that is down and fits nowhere, on the worker
+// where it is expected to be free first. Load pattern: smaller quick tasks take each
+// part of it that comes free, so that the whole is never free at once.
+func (b *Board) keepForRestart(down downTask, pool []*workerState, now time.Time) {
+	_, kept := b.reservations[down.key]
+	if kept || b.keeps.left == 0 || b.restartsKept() >= max(1, len(pool)/keptShare) {
+		return
+	}
+	service := b.serviceOf(down.job)
+	if failed := b.keeps.failed[service]; failed != nil && failed.rulesOut(down.step.spec) {
+		return
+	}
+	b.keeps.left--
+	size := reservedSize(down.step.spec)
+	var best *workerState
+	bestWait := locality.Never
+	for _, w := range pool {
+		if !b.eligible(w, down.step, down.task) || !size.FitsIn(w.Capacity.Sub(w.longRunningSize()).Sub(w.reserved)) {
+			continue
+		}
+		wait := b.freeAfter(w, size, now)
+		if best != nil && best.ID != down.avoid && (w.ID == down.avoid || wait >= bestWait) {
+			continue
+		}
+		if wait < locality.Never {
+			best, bestWait = w, wait
+		}
+	}
+	if best == nil {
+		recordFailure(b.keeps.failed, service, down.step.spec)
+		return
+	}
+	b.keep(down.key, best, size, now)
+	held := b.reservations[down.key]
+	held.restart, held.until = true, now.Add(bestWait+reservationTerm)
+	b.reservations[down.key] = held
+	best.keptForRestarts = best.keptForRestarts.Add(size)
+}
+
+// restartsKept is the number of tasks that are down and have capacity kept.
+func (b *Board) restartsKept() int {
+	count := 0
+	for _, held := range b.reservations {
+		if held.restart {
+			count++
+		}
+	}
+	return count
+}
+
+// freeAfter is the expected time until a size is free on a worker, if nothing is
+// started there.
+func (b *Board) freeAfter(w *workerState, size worker.Size, now time.Time) time.Duration {
+	type ending struct {
+		after time.Duration
+		size  worker.Size
+	}
+	var runs []ending
+	for key, held := range w.claims {
+		if !held.longRunning {
+			runs = append(runs, ending{
+				after: b.remaining(w, key, held, now),
+				size:  held.size,
+			})
+		}
+	}
+	slices.SortFunc(runs, func(a, c ending) int { return cmp.Compare(a.after, c.after) })
+	free, after := w.free(), time.Duration(0)
+	for _, run := range runs {
+		if size.FitsIn(free) {
+			break
+		}
+		free, after = free.Add(run.size), run.after
+	}
+	if !size.FitsIn(free) {
+		return locality.Never
+	}
+	return after
+}
+
+// keepsRestart reports whether capacity that is kept for a task which is down may still
+// be used by it.
+func (b *Board) keepsRestart(key work.TaskKey, held reservation, now time.Time) bool {
+	j, w := b.open[key.Job], b.workers[held.worker]
+	if j == nil || w == nil || j.departing {
+		return false
+	}
+	_, step, t := j.find(key)
+	return b.mayReturn(j, step, t, w, now) && held.size.FitsIn(w.Capacity.Sub(w.longRunningSize()))
 }
 
 // downTasks returns the tasks that are down and may start, the one that has been down
--- a/internal/process/schedule/down_test.go
+++ b/internal/process/schedule/down_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,113 @@
 	require.Len(t, starts, 1)
 	assert.Equal(t, "b", starts[0].Key.Job)
 }
+
+// downBesideQuick returns a board on whose worker quick tasks fill all, and a long-running
+// task of half its size that has been down for long enough for capacity to be kept.
+func downBesideQuick(t *testing.T) (*Board, *task, time.Time) {
+	t.Helper()
+	board := testBoard("w0")
+	board.AddJob(testJob("quick", "quotes", tasks(8, 1000)), nil, false, testStart, testStart)
+	accept(board, decideAndSave(board, testStart), testStart)
+	long := lastingJob("long", 1)
+	long.Steps[0].Size.MilliCores = 4000
+	board.AddJob(long, nil, false, testStart, testStart)
+	down := board.jobs["long"].occurrences[0].steps[0].tasks[0]
+	down.endedAt = testStart
+	now := testStart.Add(keptAfter)
+	poll(board, "w0", now)
+	require.Empty(t, decideAndSave(board, now).Starts)
+	require.Contains(t, board.reservations, down.key)
+	return board, down, now
+}
+
+// Guards against a task that is down until the load ends, since smaller quick tasks take
+// each part of a piece that comes free.
+func TestQuickTasksMakeWayForATaskThatIsDown(t *testing.T) {
+	board, down, now := downBesideQuick(t)
+	board.AddJob(testJob("more", "quotes", tasks(8, 1000)), nil, false, now, now)
+	for index := range 4 {
+		require.Empty(t, decideAndSave(board, now).Starts, "%d pieces are free", index)
+		now = now.Add(simulationStep)
+		board.ApplyReport("w0", Inventory{
+			Born: testBorn,
+			Ended: []EndedTask{
+				{
+					Number: int64(index + 1),
+					Key:    board.jobs["quick"].occurrences[0].steps[0].tasks[index].key,
+					Run:    board.jobs["quick"].occurrences[0].steps[0].tasks[index].run,
+					Ending: EndedDone,
+				},
+			},
+			EndsOmitted: true,
+			Sent:        now,
+			Received:    now,
+		}, now)
+		board.Confirmed(now)
+	}
+	starts := decideAndSave(board, now).Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, down.key, starts[0].Key)
+	assert.Empty(t, board.reservations)
+}
+
+// Guards against capacity that stays empty because the task for which it is kept cannot
+// start there any more.
+func TestCapacityIsKeptOnlyWhileTheTaskThatIsDownMayStart(t *testing.T) {
+	tests := map[string]func(board *Board, now time.Time){
+		"cancelled": func(board *Board, now time.Time) {
+			board.Cancel("long", now)
+		},
+		"departs to another shard": func(board *Board, _ time.Time) {
+			board.jobs["long"].departing = true
+		},
+		"worker drains": func(board *Board, now time.Time) {
+			listing := board.workers["w0"].Listing
+			listing.Draining = true
+			board.SetWorkers(map[string]Listing{
+				"w0": listing,
+			}, true, now)
+		},
+		"long-running task has taken the place": func(board *Board, _ time.Time) {
+			for _, held := range board.workers["w0"].claims {
+				held.longRunning = true
+			}
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			board, _, now := downBesideQuick(t)
+			change(board, now)
+			board.Decide(now, true)
+			assert.Empty(t, board.reservations)
+			requireConsistent(t, board)
+		})
+	}
+}
+
+// Guards against capacity that is kept on most workers at once after the loss of some, so
+// that no quick task starts.
+func TestCapacityIsKeptOnFewWorkers(t *testing.T) {
+	const workers = 8
+	ids := make([]string, workers)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("w%d", i)
+	}
+	board := testBoard(ids...)
+	board.AddJob(testJob("quick", "quotes", tasks(8*workers, 1000)), nil, false, testStart, testStart)
+	accept(board, decideAndSave(board, testStart), testStart)
+	board.AddJob(lastingJob("long", workers), nil, false, testStart, testStart)
+	for _, down := range board.jobs["long"].occurrences[0].steps[0].tasks {
+		down.endedAt = testStart
+	}
+	now := testStart.Add(keptAfter)
+	for _, id := range ids {
+		poll(board, id, now)
+	}
+	for range 10 {
+		board.Decide(now, true)
+		now = now.Add(scanInterval)
+	}
+	assert.Len(t, board.reservations, workers/keptShare)
+	requireConsistent(t, board)
+}
--- a/internal/process/schedule/fleet_replay_test.go
+++ b/internal/process/schedule/fleet_replay_test.go
@@ -30,12 +30,18 @@
 	stopped     bool
 	milliCores  int64
 	longRunning bool
+	// fails is set if the run ends as failed.
+	fails bool
 }
 
 type replayWorker struct {
 	running map[work.TaskKey]*fleetRun
 	ended   []EndedTask
 	number  int64
+	born    time.Time
+	// lost is set while the worker is down, lostAt when it went down.
+	lost   bool
+	lostAt time.Time
 }
 
 // replay runs a Board against a fleet without a network and records what
@@ -64,6 +70,8 @@
 	next                  int
 	// unanswered makes stops take effect without an answer to the leader.
 	unanswered bool
+	// faults are those of the runs and workers, nil if there are none.
+	faults *replayFaults
 }
 
 type fleetJob struct {
@@ -92,6 +100,7 @@
 		r.ids = append(r.ids, id)
 		r.workers[id] = &replayWorker{
 			running: map[work.TaskKey]*fleetRun{},
+			born:    testBorn,
 		}
 	}
 	r.newLeader(testToken)
@@ -107,8 +116,26 @@
 	r.board = NewBoard(config)
 	r.board.SetCatalog(testCatalog())
 	r.board.Begin(token, r.now)
+	r.list()
+	if previous != nil {
+		for _, j := range previous.open {
+			progress := j.snapshot()
+			r.board.AddJob(j.work, &progress, true, r.now, r.now)
+		}
+		r.board.TrustPlacements()
+	}
+	for _, id := range r.ids {
+		r.report(id)
+	}
+}
+
+// list delivers the discovery list.
+func (r *replay) list() {
 	listings := map[string]Listing{}
 	for i, id := range r.ids {
+		if r.workers[id].lost {
+			continue
+		}
 		listings[id] = Listing{
 			ID:      id,
 			Address: testAddress(i),
@@ -118,20 +145,10 @@
 				MilliCores:  replayCores,
 				MemoryBytes: 250 << 30,
 			},
-			Born: testBorn,
+			Born: r.workers[id].born,
 		}
 	}
 	r.board.SetWorkers(listings, true, r.now)
-	if previous != nil {
-		for _, j := range previous.open {
-			progress := j.snapshot()
-			r.board.AddJob(j.work, &progress, true, r.now, r.now)
-		}
-		r.board.TrustPlacements()
-	}
-	for _, id := range r.ids {
-		r.report(id)
-	}
 }
 
 // addLongRunning adds long-running jobs of 14 tasks of 4 to 22 cores until they
@@ -229,6 +246,9 @@
 	round := int(r.now.Sub(testStart) / replayStep)
 	polls := int(replayPoll / replayStep)
 	for i, id := range r.ids {
+		if r.workers[id].lost {
+			continue
+		}
 		r.finishRuns(id)
 		if (i+round)%polls == 0 {
 			r.report(id)
--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -145,7 +145,7 @@
 // it had been reserved for that task. Load pattern: smaller tasks take a part of
 // the capacity, and the next large one needs another preemption.
 func (b *Board) passOn(w *workerState, j *job, done *claim, step *stepState, now time.Time) {
-	if done == nil || !done.piece || step.waiting == 0 || !b.urgent(j) || b.config.Notice <= 0 {
+	if done == nil || !done.piece || step.waiting == 0 || !b.urgent(j) || b.config.Notice <= 0 || w.keptForRestarts != (worker.Size{}) {
 		return
 	}
 	for _, t := range step.tasks {
--- a/internal/process/schedule/preempt.go
+++ b/internal/process/schedule/preempt.go
@@ -9,12 +9,14 @@
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
-// reservation keeps capacity on a worker for a task while lower-priority runs
-// are preempted for it.
+// reservation keeps capacity on a worker for a task while runs there end: those that are
+// preempted for it, or quick ones that a long-running task waits for.
 type reservation struct {
 	worker string
 	size   worker.Size
 	until  time.Time
+	// restart is set if the task is a long-running one that is down.
+	restart bool
 }
 
 const (
@@ -137,7 +139,7 @@
 			_, _, t := j.find(key)
 			waits = t.phase == waiting
 		}
-		if waits && now.Before(held.until) {
+		if waits && now.Before(held.until) && (!held.restart || b.keepsRestart(key, held, now)) {
 			continue
 		}
 		b.unreserve(key)
@@ -154,6 +156,9 @@
 	b.shortages = nil
 	if w := b.workers[held.worker]; w != nil {
 		w.reserved = w.reserved.Sub(held.size)
+		if held.restart {
+			w.keptForRestarts = w.keptForRestarts.Sub(held.size)
+		}
 	}
 }
 
--- a/internal/process/schedule/replay_workers_test.go
+++ b/internal/process/schedule/replay_workers_test.go
@@ -13,8 +13,11 @@
 			continue
 		}
 		ending := EndedDone
-		if run.stopped {
+		switch {
+		case run.stopped:
 			ending = EndedStopped
+		case run.fails:
+			ending = EndedFailed
 		}
 		delete(w.running, key)
 		w.number++
@@ -33,7 +36,7 @@
 func (r *replay) report(id string) {
 	w := r.workers[id]
 	inventory := Inventory{
-		Born:     testBorn,
+		Born:     w.born,
 		Ended:    w.ended,
 		Sent:     r.now,
 		Received: r.now,
@@ -64,6 +67,11 @@
 func (r *replay) start(start Start) {
 	j := r.board.jobs[start.Key.Job]
 	spec := j.work.Steps[start.Key.Step]
+	if verdict := r.faults.refusal(spec.LongRunning); verdict != Accepted {
+		r.board.LeaseExtended(start.Worker, r.now)
+		r.board.StartReplied(start, verdict, r.now)
+		return
+	}
 	used := spec.Size.MilliCores
 	for _, run := range r.workers[start.Worker].running {
 		used += run.milliCores
@@ -79,6 +87,7 @@
 		run.ends = r.now.Add(quickRunTime)
 		r.started[start.Key] = r.now
 	}
+	r.faults.apply(run, r.now)
 	r.workers[start.Worker].running[start.Key] = run
 	r.board.LeaseExtended(start.Worker, r.now)
 	r.board.StartReplied(start, Accepted, r.now)
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -84,8 +84,9 @@
 	health   health
 	// blockedUntil delays new tasks after a refusal.
 	blockedUntil time.Time
-	// reserved is the capacity kept for tasks that others are preempted for.
-	reserved worker.Size
+	// reserved is the capacity kept for tasks, and keptForRestarts the part of it that is
+	// kept for long-running tasks that are down.
+	reserved, keptForRestarts worker.Size
 	// drainingSince is when it was first known to drain. closed is set if it
 	// has closed a connection since its last report.
 	drainingSince time.Time
