--- a/internal/process/leader/layout.go
+++ b/internal/process/leader/layout.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -36,7 +37,10 @@
 	Worker        func(item store.Item) (schedule.Listing, error)
 	// Delay is how long this host waits for another one to make the layout.
 	Delay time.Duration
-	Clock func() time.Time
+	// MaxWorkers is the most workers of a shard in a layout that this host makes;
+	// zero means shard.DefaultMaxWorkers.
+	MaxWorkers int
+	Clock      func() time.Time
 }
 
 // FetchLayout returns the stored layout of the fleet. In a new fleet one host
@@ -54,7 +58,7 @@
 			var listed []shard.Worker
 			listed, err = listWorkers(ctx, config)
 			if err == nil && listIsWhole(len(listed), workers, waited) {
-				if err = createLayout(ctx, config.Store, shard.Plan(listed)); err == nil {
+				if err = createLayout(ctx, config.Store, shard.Plan(listed, cmp.Or(config.MaxWorkers, shard.DefaultMaxWorkers))); err == nil {
 					continue
 				}
 			}
--- a/internal/process/leader/layout_test.go
+++ b/internal/process/leader/layout_test.go
@@ -89,6 +89,22 @@
 	assert.Equal(t, 2, layout.Shards)
 }
 
+// Guards against hosts of a fleet that divide it anew: the stored layout holds for
+// those with another setting too.
+func TestLayoutStaysWithAnotherSetting(t *testing.T) {
+	s := emptySite(t)
+	s.addWorkers(0, 48)
+	config := s.layoutConfig()
+	config.MaxWorkers = 24
+	made, err := FetchLayout(t.Context(), config)
+	require.NoError(t, err)
+	assert.Equal(t, 2, made.Shards)
+	config.MaxWorkers = 16
+	read, err := FetchLayout(t.Context(), config)
+	require.NoError(t, err)
+	assert.Equal(t, made, read)
+}
+
 func TestListIsWhole(t *testing.T) {
 	for name, test := range map[string]struct {
 		entries, before int
--- a/internal/process/shard/layout.go
+++ b/internal/process/shard/layout.go
@@ -10,11 +10,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxWorkers is the most workers that one leader is given. A leader on 0.8 of a
-// core starts 1,200 tasks a second; a busy fleet asks for two a second for each
-// worker, and a third of the processor is needed for polls. Smaller shards pack
-// worse: a wide job finds less room at once.
-const maxWorkers = 400
+// DefaultMaxWorkers is the most workers that one leader is given unless the
+// settings say otherwise. A leader on 0.8 of a core starts 1,200 tasks a second; a
+// busy fleet asks for two a second for each worker, and a third of the processor is
+// needed for polls. Smaller shards pack worse: a wide job finds less room at once.
+const DefaultMaxWorkers = 400
 
 // Worker is what the division of a fleet depends on.
 type Worker struct {
@@ -41,10 +41,10 @@
 	}
 }
 
-// Plan divides a fleet: the racks of each zone are dealt out so that all shards
-// get about the same capacity in every zone. The loss of a zone then takes the
-// same part of each shard.
-func Plan(workers []Worker) Layout {
+// Plan divides a fleet into shards of at most maxWorkers: the racks of each zone are
+// dealt out so that all shards get about the same capacity in every zone. The loss of
+// a zone then takes the same part of each shard.
+func Plan(workers []Worker, maxWorkers int) Layout {
 	if len(workers) <= maxWorkers {
 		return Solo()
 	}
--- a/internal/process/shard/layout_test.go
+++ b/internal/process/shard/layout_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -26,7 +27,7 @@
 
 func TestPlanCountsShards(t *testing.T) {
 	for name, test := range map[string]struct {
-		workers, shards int
+		workers, maxWorkers, shards int
 	}{
 		"no worker": {
 			workers: 0,
@@ -37,7 +38,7 @@
 			shards:  1,
 		},
 		"largest solo": {
-			workers: maxWorkers,
+			workers: DefaultMaxWorkers,
 			shards:  1,
 		},
 		"hundreds": {
@@ -52,9 +53,14 @@
 			workers: 4000,
 			shards:  10,
 		},
+		"small fleet, smaller shards": {
+			workers:    48,
+			maxWorkers: 16,
+			shards:     3,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, test.shards, Plan(fleet(test.workers, 5)).Shards)
+			assert.Equal(t, test.shards, Plan(fleet(test.workers, 5), cmp.Or(test.maxWorkers, DefaultMaxWorkers)).Shards)
 		})
 	}
 }
@@ -63,7 +69,7 @@
 // all leaders alike.
 func TestPlanSpreadsZonesEvenly(t *testing.T) {
 	workers := fleet(1100, 5)
-	layout := Plan(workers)
+	layout := Plan(workers, DefaultMaxWorkers)
 	capacity, zones := make([]int64, layout.Shards), make([]map[string]int, layout.Shards)
 	for _, w := range workers {
 		number := layout.OfWorker(w.ID, w.Rack)
@@ -83,9 +89,9 @@
 // in which they read them, and racks must stay whole.
 func TestPlanDependsOnNoOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		workers := fleet(rapid.IntRange(maxWorkers+1, 1500).Draw(t, "workers"), rapid.IntRange(1, 7).Draw(t, "zones"))
-		layout := Plan(workers)
-		assert.Equal(t, layout, Plan(rapid.Permutation(workers).Draw(t, "order")))
+		workers := fleet(rapid.IntRange(DefaultMaxWorkers+1, 1500).Draw(t, "workers"), rapid.IntRange(1, 7).Draw(t, "zones"))
+		layout := Plan(workers, DefaultMaxWorkers)
+		assert.Equal(t, layout, Plan(rapid.Permutation(workers).Draw(t, "order"), DefaultMaxWorkers))
 		racks := map[string]int{}
 		for _, w := range workers {
 			number := layout.OfWorker(w.ID, w.Rack)
@@ -99,7 +105,7 @@
 }
 
 func TestUnknownRacksAndWorkersHaveAShard(t *testing.T) {
-	layout := Plan(fleet(1100, 5))
+	layout := Plan(fleet(1100, 5), DefaultMaxWorkers)
 	assert.Less(t, layout.OfWorker("w9999", "r9-9"), layout.Shards)
 	assert.Less(t, layout.OfWorker("w9999", ""), layout.Shards)
 	assert.Equal(t, layout.OfRack("r9-9"), layout.OfWorker("w9999", "r9-9"))
