Count a preempted task whose place is taken as down

Callers see: a long-running task that was preempted for a quick one stays down for up to 18 s while long-running tasks alone leave room for it.

Cause: a preempted task is not placed with those that are down, as its capacity is returned to it. If another long-running task has taken that place by then, nothing is returned, and the task waits by the rank of its job.

Evidence: TestPreemptedTaskWhosePlaceIsTakenIsDown, which failed before.

Change: such a task counts as down from when its capacity was due to be returned, 4 s after its end.

--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -17,10 +17,15 @@
 	*task
 }
 
-// restarts reports whether a task of the step waits after a run that has failed, was
-// lost or was stopped, but for a preemption: its capacity is returned later.
-func (s *stepState) restarts(t *task) bool {
-	return s.spec.LongRunning && !s.spec.Gang && t.phase == waiting && !t.endedAt.IsZero() && !t.wasPreempted()
+// restarts reports whether a task of the step is down: it waits after a run that has
+// failed, was lost or was stopped. A preempted one isn't while its capacity is used by
+// quick tasks, or is kept to be returned to it.
+func (b *Board) restarts(step *stepState, t *task, now time.Time) bool {
+	if !step.spec.LongRunning || step.spec.Gang || t.phase != waiting || t.endedAt.IsZero() {
+		return false
+	}
+	_, returns := b.urgentCapacity.preempted[t.key]
+	return !t.wasPreempted() || !returns && !now.Before(t.downSince())
 }
 
 // wasPreempted reports whether the task's last run was stopped for a quick task.
@@ -56,7 +61,7 @@
 			continue
 		}
 		shortages.lacking = true
-		if now.Sub(t.endedAt) >= keptAfter {
+		if now.Sub(t.downSince()) >= keptAfter {
 			b.keepForRestart(next, workers, now)
 		}
 	}
@@ -217,7 +222,7 @@
 					continue
 				}
 				for _, t := range step.tasks {
-					if step.restarts(t) && b.startable(j, t, now) {
+					if b.restarts(step, t, now) && b.startable(j, t, now) {
 						out = append(out, downTask{
 							job:  j,
 							step: step,
@@ -229,7 +234,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, c downTask) int {
-		return cmp.Or(a.endedAt.Compare(c.endedAt), compareKeys(a.key, c.key))
+		return cmp.Or(a.downSince().Compare(c.downSince()), compareKeys(a.key, c.key))
 	})
 	return out
 }
--- a/internal/process/schedule/down_test.go
+++ b/internal/process/schedule/down_test.go
@@ -204,3 +204,18 @@
 	assert.Len(t, board.reservations, workers/keptShare)
 	requireConsistent(t, board)
 }
+
+// Guards against a preempted task that stays down because other long-running tasks have
+// taken the place that was to be returned to it: quick tasks went on taking what came free
+// elsewhere.
+func TestPreemptedTaskWhosePlaceIsTakenIsDown(t *testing.T) {
+	board, down, now := downBesideQuick(t)
+	board.unreserve(down.key)
+	down.startedAt, down.preemptedAt = testStart.Add(-time.Second), testStart
+	board.Decide(now, true)
+	assert.Empty(t, board.reservations, "quick tasks may use what it had")
+	now = testStart.Add(returnAfter + keptAfter)
+	poll(board, "w0", now)
+	board.Decide(now, true)
+	assert.Contains(t, board.reservations, down.key)
+}
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -180,7 +180,7 @@
 		if !b.admits(j, step) {
 			return
 		}
-		if step.restarts(t) || ruledOut && !b.longDown(step, t, now) || !b.startable(j, t, now) {
+		if b.restarts(step, t, now) || ruledOut && !b.longDown(step, t, now) || !b.startable(j, t, now) {
 			continue // placeDown has looked for a worker for those that restart
 		}
 		w := b.candidate(preferred, step, t, pool)
