--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -17,10 +17,15 @@
 	*task
 }
 
-// restarts reports whether a task of the step waits after a run that has failed, was
-// lost or was stopped, but for a preemption: its capacity is returned later.
-func (s *stepState) restarts(t *task) bool {
-	return s.spec.LongRunning && !s.spec.Gang && t.phase == waiting && !t.endedAt.IsZero() && !t.wasPreempted()
+// isDown reports whether a task of the step is down: it waits after a run that has
+// failed, was lost or was stopped. A preempted one isn't while its capacity is used by
+// quick tasks, or is kept to be returned to it.
+func (b *Board) isDown(step *stepState, t *task, now time.Time) bool {
+	if !step.spec.LongRunning || step.spec.Gang || t.phase != waiting || t.endedAt.IsZero() {
+		return false
+	}
+	_, returns := b.urgentCapacity.preempted[t.key]
+	return !t.wasPreempted() || !returns && !now.Before(t.entitledSince())
 }
 
 // wasPreempted reports whether the task's last run was stopped for a quick task.
@@ -56,7 +61,7 @@
 			continue
 		}
 		shortages.lacking = true
-		if now.Sub(t.absentSince()) >= keptAfter {
+		if now.Sub(t.entitledSince()) >= keptAfter {
 			b.keepForRestart(next, workers, now)
 		}
 	}
@@ -217,7 +222,7 @@
 					continue
 				}
 				for _, t := range step.tasks {
-					if step.restarts(t) && b.startable(j, t, now) {
+					if b.isDown(step, t, now) && b.startable(j, t, now) {
 						out = append(out, restart{
 							job:  j,
 							step: step,
@@ -229,7 +234,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, c restart) int {
-		return cmp.Or(a.absentSince().Compare(c.absentSince()), compareKeys(a.key, c.key))
+		return cmp.Or(a.entitledSince().Compare(c.entitledSince()), compareKeys(a.key, c.key))
 	})
 	return out
 }
--- a/internal/process/schedule/downtasks_test.go
+++ b/internal/process/schedule/downtasks_test.go
@@ -224,7 +224,8 @@
 // Guards against a task of which the log says that it is about to start, while each
 // decision ends its search for the step at a task before it.
 func TestTaskBehindAnEarlierOneIsPassedOver(t *testing.T) {
-	board := testBoard("w0")
+	board := testBoard("w0", "left")
+	board.workers["left"].Draining = true
 	board.AddJob(testJob("a", "plans", running(2, 8000)), nil, false, testStart, testStart)
 	j := board.jobs["a"]
 	step := j.occurrences[0].steps[0]
@@ -233,6 +234,7 @@
 	step.tasks[0].endedAt, step.tasks[1].endedAt = now.Add(-time.Second), testStart
 	for _, preempted := range step.tasks {
 		preempted.preemptedAt = testStart
+		board.urgentCapacity.preempted[preempted.key] = "left"
 	}
 	keepFor(board, "b", "w0", 1000, now)
 	poll(board, "w0", now)
--- a/internal/process/schedule/stepcause.go
+++ b/internal/process/schedule/stepcause.go
@@ -187,7 +187,7 @@
 // endsSearch reports whether placeStep tries no further task of the step once it has
 // found no worker for this one, which was preempted.
 func (s *stepCause) endsSearch(t *task, why cause) bool {
-	return !s.step.spec.Gang && s.step.spec.LongRunning && !t.endedAt.IsZero() && !s.step.restarts(t) && why.excluded != nil && why.reason != RackWait
+	return !s.step.spec.Gang && s.step.spec.LongRunning && !t.endedAt.IsZero() && !s.board.isDown(s.step, t, s.now) && why.excluded != nil && why.reason != RackWait
 }
 
 // afterSearch returns the cause of a task which the search for the step did not get to
