Give the idle parts of a limit to one waiting task at a time

What callers saw: of a limit of 10 cores, tasks of 6 cores waited with the reason quota in two shards while nothing of the organisation ran. A long-running task that was transferred waited in its new shard in the same way.

Cause: a shard's want was its use, all that waits and some headroom, and it gave only what exceeded that. Shards that want more than the limit together gave nothing, however little of their parts they used. Headroom was kept from waiting tasks too, and resources were decided one by one.

Without claims TestPartOfALimitFollowsATransferredTask does not start the task within 3 s where other work waits in the shard that it left.

Change: beside its want a shard publishes what it uses and the size of one task or gang that the limit admits and its part does not. All shards serve the first such claim from the shard that the record names: it gets what is not given out and what the others do not use, in all resources, before any other raise. The commit that completes it names the next shard. The part is kept for four revisions, then goes to the next claim. The rule for safety is as before: only its own leader lowers a part, never below its use, and the sum stays within the limit. Records stay readable across releases.

Ruled out: the order of waiting times (clocks differ, a task that fits on no worker stays first); a part kept until its task starts (it holds back all other shards); shards that say nothing taken to be idle (a claim that cannot be met keeps the idle parts).

--- a/internal/process/leader/quotas.go
+++ b/internal/process/leader/quotas.go
@@ -101,7 +101,7 @@
 		var shard int
 		var wanted quota.Wants
 		if shard, err = strconv.Atoi(number); err == nil {
-			err = cbor.Unmarshal(item.Value, &wanted)
+			wanted, err = decodeWants(item.Value)
 		}
 		if err == nil && shard != q.term.leader.config.Shard {
 			q.others[shard] = wanted
--- a/internal/process/leader/wants.go
+++ b/internal/process/leader/wants.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,14 +41,44 @@
 	go p.run(p.term.ctx, value, p.term.lease)
 }
 
+// wantRecord holds the part, the use and the unit of a want, three resources each. An
+// earlier release writes and reads the part only.
+type wantRecord []int64
+
+const resources = len(quota.Amount{})
+
 // encodeWants encodes the same wants in the same way, so that they can be
 // compared.
 func encodeWants(wants quota.Wants) ([]byte, error) {
+	records := make(map[string]wantRecord, len(wants))
+	for name, want := range wants {
+		records[name] = slices.Concat(want.Part[:], want.Used[:], want.Unit[:])
+	}
 	mode, err := cbor.CoreDetEncOptions().EncMode()
 	if err != nil {
 		return nil, err
 	}
-	return mode.Marshal(wants)
+	return mode.Marshal(records)
+}
+
+// decodeWants decodes the wants of a shard. One of an earlier release does not say what
+// it uses: that may be all that it wants.
+func decodeWants(value []byte) (quota.Wants, error) {
+	var records map[string]wantRecord
+	if err := cbor.Unmarshal(value, &records); err != nil {
+		return nil, err
+	}
+	wants := make(quota.Wants, len(records))
+	for name, record := range records {
+		want := quota.Want{}
+		copy(want.Part[:], record)
+		if want.Used = want.Part; len(record) >= 3*resources {
+			copy(want.Used[:], record[resources:])
+			copy(want.Unit[:], record[2*resources:])
+		}
+		wants[name] = want
+	}
+	return wants, nil
 }
 
 func (p *wantsPublisher) run(ctx context.Context, value []byte, lease int64) {
--- a/internal/process/quota/account.go
+++ b/internal/process/quota/account.go
@@ -25,6 +25,8 @@
 	// running is what runs, starts or is being stopped. possible is what may be
 	// running on workers that have not reported to this leader.
 	running, possible worker.Size
+	// claim is used where limits are divided among shards.
+	claim claim
 	// waitingSince is when a task was last started, or when work began to wait,
 	// and lastWaiting when work was last seen waiting.
 	waitingSince, lastWaiting time.Time
--- a/internal/process/quota/book.go
+++ b/internal/process/quota/book.go
@@ -20,6 +20,9 @@
 	// lowered holds what a revision without an answer leaves this shard.
 	parts   *Parts
 	lowered map[string]Amount
+	// units holds the sizes of what waits here, others what other shards want.
+	units  map[string][]worker.Size
+	others map[int]Wants
 	// total is the capacity that the organisations share, and activeWeight the sum
 	// of the weights of those that use it or wait for it.
 	total        worker.Size
--- a/internal/process/quota/division_leaders_test.go
+++ b/internal/process/quota/division_leaders_test.go
@@ -4,13 +4,18 @@
 
 // revise commits the changes of a shard, with any outcome.
 func (d *division) revise(number int, outcome string) {
-	s := d.shards[number]
 	others := map[int]Wants{}
 	for other, each := range d.shards {
 		if other != number {
 			others[other] = each.wants
 		}
 	}
+	d.reviseFor(number, outcome, others)
+}
+
+// reviseFor commits the changes of a shard that knows certain wants of the others.
+func (d *division) reviseFor(number int, outcome string, others map[int]Wants) {
+	s := d.shards[number]
 	if !s.verified {
 		return
 	}
--- a/internal/process/quota/division_test.go
+++ b/internal/process/quota/division_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -37,12 +38,19 @@
 	wants         Wants
 }
 
+// dividedTask is a task, or a gang with the size of all its members.
 type dividedTask struct {
 	size      worker.Size
 	inherited bool
+	// noWorker is set if no worker of the shard has room for the task.
+	noWorker bool
 }
 
 func newDivision(t *rapid.T) *division {
+	return newDivisionOf(t, rapid.IntRange(2, 3).Draw(t, "shards"))
+}
+
+func newDivisionOf(t *rapid.T, shards int) *division {
 	d := &division{
 		t: t,
 		record: []Parts{
@@ -50,7 +58,7 @@
 		},
 	}
 	d.limits = []worker.Size{d.drawLimit()}
-	for number := range rapid.IntRange(2, 3).Draw(t, "shards") {
+	for number := range shards {
 		d.shards = append(d.shards, &dividedShard{
 			book:     NewBook(number, 0),
 			reported: true,
@@ -85,11 +93,16 @@
 	})
 }
 
+// asked returns what the waiting tasks ask for, and sets their sizes in the book.
 func (s *dividedShard) asked() map[string]worker.Size {
-	total := worker.Size{}
+	total, units := worker.Size{}, []worker.Size(nil)
 	for _, task := range s.waiting {
 		total = total.Add(task.size)
+		if !slices.Contains(units, task.size) {
+			units = append(units, task.size)
+		}
 	}
+	s.book.SetUnits(map[string][]worker.Size{"mill": units})
 	return map[string]worker.Size{"mill": total}
 }
 
@@ -106,12 +119,22 @@
 	}
 }
 
+// submitWide adds one task or gang of up to any limit to a shard.
+func (d *division) submitWide(s *dividedShard) {
+	s.waiting = append(s.waiting, &dividedTask{
+		size: worker.Size{
+			MilliCores:  rapid.Int64Range(1, 40).Draw(d.t, "wide cores"),
+			MemoryBytes: rapid.Int64Range(0, 30).Draw(d.t, "wide memory"),
+		},
+	})
+}
+
 // start starts the first waiting task that the book's leader knows and may start.
 func (d *division) start(s *dividedShard, book *Book) {
 	for i, task := range s.waiting {
 		// The former leader does not know new tasks, its successor does not start
 		// inherited ones before all workers have reported.
-		if task.inherited == (book == s.book) && !s.reported || !book.Account("mill").Admits(task.size) {
+		if task.inherited == (book == s.book) && !s.reported || task.noWorker || !book.Account("mill").Admits(task.size) {
 			continue
 		}
 		book.Account("mill").Add(task.size)
@@ -165,7 +188,7 @@
 	number := rapid.IntRange(0, len(d.shards)-1).Draw(d.t, "shard")
 	s := d.shards[number]
 	actions := []string{
-		"submit", "submit", "start", "start", "start", "start", "start", "end", "end", "former", "former", "revise", "revise", "revise",
+		"submit", "submit", "submit wide", "start", "start", "start", "start", "start", "end", "end", "former", "former", "revise", "revise", "revise",
 		"read", "sync", "sync", "sync", "apply", "report", "move",
 	}
 	if rapid.IntRange(0, 29).Draw(d.t, "rare") == 0 {
@@ -174,6 +197,8 @@
 	switch rapid.SampledFrom(actions).Draw(d.t, "action") {
 	case "submit":
 		d.submit(s)
+	case "submit wide":
+		d.submitWide(s)
 	case "start":
 		for range rapid.IntRange(1, 9).Draw(d.t, "starts") {
 			d.start(s, s.book)
--- a/internal/process/quota/parts.go
+++ b/internal/process/quota/parts.go
@@ -24,6 +24,8 @@
 	Version int64 `cbor:"1,keyasint"`
 	// Organisations holds the parts of each organisation by shard.
 	Organisations map[string][]Amount `cbor:"2,keyasint,omitempty"`
+	// Turns holds the shard whose claim is served first, where that is not shard 0.
+	Turns map[string]int `cbor:"3,keyasint,omitempty"`
 }
 
 // openPart is the part of each shard in a resource without a limit. It is above
@@ -81,44 +83,88 @@
 	return out
 }
 
-// reviseResource returns the parts of one resource after the changes that shard
-// own makes: it raises its part from what is not given out, gives what it does
-// not want to shards that want more, and lowers its part to its use under a
-// reduced limit. wants holds the wanted amounts by shard. mayRaise is false for a
-// leader with an old configuration.
-func reviseResource(parts []int64, own int, limit, used int64, wants []int64, mayRaise bool) {
-	if limit == 0 {
-		if mayRaise {
-			parts[own] = openPart
+// revision is what a shard knows of one resource when it revises the parts.
+type revision struct {
+	own         int
+	limit, used int64
+	// kept is what the shard keeps of its part beside a claim elsewhere; it is at least
+	// used.
+	kept int64
+	// wants holds the wanted amounts by shard.
+	wants []int64
+	// claimant is the shard whose claim is served, -1 if there is none, and claimed the
+	// part that it needs.
+	claimant int
+	claimed  int64
+	// mayRaise is false for a leader with an old configuration.
+	mayRaise bool
+}
+
+// revise makes the changes of one shard to the parts of one resource. It lowers its part
+// to its use under a reduced limit. It gives the claimant what is not given out and what
+// it does not keep. Once the claim is served, it raises its own part from what is not
+// given out, and gives what it does not want to shards that want more.
+func (v *revision) revise(parts []int64) {
+	if v.limit == 0 {
+		if v.mayRaise {
+			parts[v.own] = openPart
 		}
 		return
 	}
-	free := limit
+	free := v.limit
 	for _, part := range parts {
 		free -= part
 	}
 	if free < 0 {
-		parts[own] = min(parts[own], used)
+		parts[v.own] = min(parts[v.own], v.used)
 		return
 	}
-	if missing := wants[own] - parts[own]; missing > 0 && mayRaise {
-		parts[own] += min(missing, free)
+	free, served := v.serveClaim(parts, free)
+	if !served {
+		return
+	}
+	if missing := v.wants[v.own] - parts[v.own]; missing > 0 && v.mayRaise {
+		parts[v.own] += min(missing, free)
+	}
+	spare, asked := parts[v.own]-max(v.used, v.wants[v.own]), int64(0)
+	if v.own == v.claimant {
+		spare = min(spare, parts[v.own]-v.claimed)
 	}
-	spare, asked := parts[own]-max(used, wants[own]), int64(0)
-	for shard, want := range wants {
-		if shard != own {
+	for shard, want := range v.wants {
+		if shard != v.own {
 			asked += max(0, want-parts[shard])
 		}
 	}
 	if spare <= 0 || asked == 0 {
 		return
 	}
-	for shard, want := range wants {
-		if missing := min(want, limit) - parts[shard]; shard != own && missing > 0 {
+	for shard, want := range v.wants {
+		if missing := min(want, v.limit) - parts[shard]; shard != v.own && missing > 0 {
 			given := min(missing, spare, int64(float64(missing)*min(1, float64(spare)/float64(asked)))+1)
 			parts[shard] += given
-			parts[own] -= given
+			parts[v.own] -= given
 			spare -= given
 		}
 	}
 }
+
+// serveClaim raises the claimant's part. It returns what is not given out after that,
+// and false while the claim is open: all else waits for it.
+func (v *revision) serveClaim(parts []int64, free int64) (int64, bool) {
+	if v.claimant < 0 {
+		return free, true
+	}
+	missing := max(0, v.claimed-parts[v.claimant])
+	if v.mayRaise {
+		given := min(missing, free)
+		parts[v.claimant] += given
+		missing, free = missing-given, free-given
+	}
+	if v.claimant != v.own {
+		given := min(missing, max(0, parts[v.own]-v.kept))
+		parts[v.claimant] += given
+		parts[v.own] -= given
+		missing -= given
+	}
+	return free, missing == 0
+}
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -7,6 +7,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mustardreach.example/mustardreach/internal/connection/worker"
+	"mustardreach.example/mustardreach/internal/process/quota"
 	"mustardreach.example/mustardreach/internal/request/work"
 )
 
@@ -215,3 +217,110 @@
 	from.TakenBack(returned, true, now)
 	assert.False(t, from.IsOpen("a"), "the job goes on with a task that crashes its workers")
 }
+
+// divide makes the boards those of shards that divide the limit of organisation "mill".
+func divide(limit int64, boards ...*Board) {
+	for number, board := range boards {
+		board.config.Shard, board.config.Shards = number, len(boards)
+		board.quotas = quota.NewBook(number, len(boards))
+		changed := *testCatalog()
+		changed.Version++
+		changed.Organisations = withLimit(worker.Size{
+			MilliCores: limit,
+		}).Organisations
+		board.SetCatalog(&changed)
+		board.SetQuotaParts(quota.Parts{})
+	}
+}
+
+// reviseParts lets each board revise the parts once.
+func reviseParts(boards []*Board, now time.Time) {
+	for number, board := range boards {
+		others := map[int]quota.Wants{}
+		for other, each := range boards {
+			if other != number {
+				others[other] = each.QuotaWants(now)
+			}
+		}
+		if next, changed := board.ReviseQuotaParts(others, now); changed {
+			for _, each := range boards {
+				each.SetQuotaParts(next)
+			}
+		}
+	}
+}
+
+// A transferred task waits for the limit in its new shard if the part of the organisation
+// stays in the shard that it left, where other work of the organisation waits for a
+// worker: it would be down there too, beside room and an idle part.
+func TestPartOfALimitFollowsATransferredTask(t *testing.T) {
+	tests := map[string]struct {
+		limit int64
+		// waiting is the size of what waits in the shard that the task leaves, and
+		// waitingThere in the one that it goes to. No worker has room for it.
+		waiting, waitingThere int64
+	}{
+		"nothing else waits": {
+			limit: 4000,
+		},
+		"a task of the same size waits": {
+			limit:   4000,
+			waiting: 4000,
+		},
+		"a wider task waits": {
+			limit:   6000,
+			waiting: 6000,
+		},
+		"a wider task waits in the other shard": {
+			limit:        9000,
+			waitingThere: 9000,
+		},
+		"wider tasks wait in both shards": {
+			limit:        9000,
+			waiting:      8500,
+			waitingThere: 9000,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			const most = 3 * time.Second // from the end of the run
+			from, to := testBoard("w0"), testBoard("w1")
+			boards := []*Board{from, to}
+			divide(tt.limit, boards...)
+			from.AddJob(millJob("a", "quotes", running(1, 4000)), nil, false, testStart, testStart)
+			now := testStart
+			for range 8 {
+				reviseParts(boards, now)
+			}
+			accept(from, decideAndSave(from, now), now)
+			require.Len(t, from.workers["w0"].claims, 1, "the task runs")
+			from.release(from.workers["w0"], firstTask("a"), now)
+			from.workers["w0"].Draining = true
+			if tt.waiting > 0 {
+				from.AddJob(millJob("b", "quotes", running(1, tt.waiting)), nil, false, now, now)
+			}
+			if tt.waitingThere > 0 {
+				to.AddJob(millJob("c", "quotes", running(1, tt.waitingThere)), nil, false, now, now)
+			}
+			ended, left := now, false
+			for ; now.Sub(ended) <= most; now = now.Add(250 * time.Millisecond) {
+				if !left {
+					for _, transfer := range transfersOf(now, from, to) {
+						if transfer.Task.Key == firstTask("a") {
+							from.TransferDone(transfer)
+							to.AddTransferred(&transfer.Task, nil, false, now, now)
+							left = true
+						}
+					}
+				}
+				reviseParts(boards, now)
+				from.Decide(now, true)
+				if starts := decideAndSave(to, now).Starts; len(starts) > 0 {
+					t.Logf("starts %s after its end", now.Sub(ended))
+					return
+				}
+			}
+			t.Fatalf("not started, transferred %t, reason %+v", left, to.Organisations(now))
+		})
+	}
+}
