Count an inherited task that had a run as down

Callers see: after a change of the leader, a long-running task whose run ended with it or just before waits behind quick tasks and tasks that were never started.

Cause: the new leader doesn't know when the run ended, and takes a task without an end for one that was never started.

Evidence: TestInheritedTaskThatHadARunIsDown, case "was placed", which failed before: the quick job started first.

Change: a long-running task with a recorded placement counts as ended when the leader took its job over, until a worker reports its run.

Ruled out: the end in the record of the job. It would be a write for each failed run, and the time from the takeover on is what this leader can keep.

--- a/internal/process/schedule/down_test.go
+++ b/internal/process/schedule/down_test.go
@@ -219,3 +219,35 @@
 	board.Decide(now, true)
 	assert.Contains(t, board.reservations, down.key)
 }
+
+// Guards against a task that stays down after a change of the leader, which does not know
+// when its run ended: it was taken for one that was never started.
+func TestInheritedTaskThatHadARunIsDown(t *testing.T) {
+	tests := map[string]struct {
+		progress work.Progress
+		first    string
+	}{
+		"was placed": {
+			progress: work.Progress{
+				Started:    true,
+				Placements: map[int]string{0: "w0"},
+			},
+			first: "long",
+		},
+		"was never placed": {
+			first: "0",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := testBoard("w0")
+			board.AddJob(testJob("0", "quotes", tasks(1, 8000)), nil, false, testStart, testStart)
+			board.AddJob(lastingJob("long", 1), &tt.progress, true, testStart, testStart)
+			board.TrustPlacements()
+			poll(board, "w0", testStart)
+			starts := decideAndSave(board, testStart).Starts
+			require.Len(t, starts, 1)
+			assert.Equal(t, tt.first, starts[0].Key.Job)
+		})
+	}
+}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -47,7 +47,9 @@
 	notBefore time.Time
 	// stalls counts the runs that have stalled.
 	stalls int
-	// startedAt is when the last run got its claim, and endedAt when it ended.
+	// startedAt is when the last run got its claim, and endedAt when it ended. The end of
+	// a run that an earlier leader started, if it is not known to run, is when this one
+	// took the job over.
 	startedAt, endedAt time.Time
 	// confirmAfter is that of the worker of the last run when it ended. The worker
 	// may have told a successor before how the run ended, so that the next start
@@ -245,7 +247,7 @@
 				t.failures = slices.Clone(progress.Failures[number])
 				t.checkpoint = progress.SavedCheckpoints[number]
 				if placement, ok := progress.Placements[number]; ok {
-					t.lastWorkers = []string{placement}
+					t.lastWorkers, t.endedAt = []string{placement}, j.seen
 				}
 				t.crashes = slices.Clone(progress.Crashes[number])
 				if number/8 < len(progress.Done) && progress.Done[number/8]&(1<<(number%8)) != 0 {
