--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -53,7 +53,9 @@
 	notBefore time.Time
 	// stalls counts the runs that have stalled.
 	stalls int
-	// startedAt is when the last run got its claim, and endedAt when it ended.
+	// startedAt is when the last run got its claim, and endedAt when it ended. The end of
+	// a run that an earlier leader started, if it is not known to run, is when this one
+	// took the job over.
 	startedAt, endedAt time.Time
 	// downSince is when the last run ended that a worker is known to have begun; endedAt
 	// is later if starts were refused since. It is zero if this leader knows of none.
@@ -275,7 +277,7 @@
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
 			for _, t := range step.tasks {
-				t.restore(progress, number)
+				t.restore(progress, number, j.seen)
 				switch {
 				case number/8 >= len(progress.Done) || progress.Done[number/8]&(1<<(number%8)) == 0:
 				case step.spec.LongRunning:
@@ -290,8 +292,9 @@
 	}
 }
 
-// restore applies what a progress record has of the task with a number.
-func (t *task) restore(progress *work.Progress, number int) {
+// restore applies what a progress record has of the task with a number. A run that it
+// names counts as ended at seen unless an earlier end is known.
+func (t *task) restore(progress *work.Progress, number int, seen time.Time) {
 	if failures, ok := progress.Failures[number]; ok {
 		t.failures = slices.Clone(failures)
 	}
@@ -300,6 +303,9 @@
 	}
 	if placement, ok := progress.Placements[number]; ok {
 		t.lastWorkers = []string{placement}
+		if t.endedAt.IsZero() {
+			t.endedAt = seen
+		}
 	}
 	if crashes, ok := progress.Crashes[number]; ok {
 		t.crashes = slices.Clone(crashes)
--- a/internal/process/schedule/transferred.go
+++ b/internal/process/schedule/transferred.go
@@ -24,7 +24,7 @@
 	t.restoreTransferred(transferred.Checkpoint, transferred.Crashes, transferred.LastRun, transferred.Down, now)
 	occ.due = earlier(occ.due, now)
 	if progress != nil {
-		t.restore(progress, j.number(transferred.Key))
+		t.restore(progress, j.number(transferred.Key), now)
 	}
 	switch {
 	case inherited && j.inherited == 0:
