Leave the state of a job to the shard of its record

A host asks the leader of the shard that the layout names first. If the job has moved from there and a task of it was transferred back, that leader answered from the job's tasks alone: a job that had failed was shown as cancelled, and after a change of that leader a job of an organisation was denied to its owner, as the owner was not restored.

Found by reading. TestOnlyTheShardOfAJobKnowsItsState failed before. Such a board now knows no state; hosts then ask the shard to which the job has moved.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -284,10 +284,10 @@
 	return count
 }
 
-// State returns the state of a job as far as it is in the store.
+// State returns the state of a job of this shard as far as it is in the store.
 func (b *Board) State(id string) (state work.State, known bool) {
 	j := b.jobs[id]
-	if j == nil {
+	if j == nil || j.partial {
 		return work.Queued, false
 	}
 	if j.progress.State.Final() {
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -249,3 +249,23 @@
 	successor.TrustPlacements()
 	assert.Len(t, decideAndSave(successor, now).Starts, 1)
 }
+
+// A shard that has a task of another shard's job does not answer for the job: a host asks
+// the shard that the layout names first, which may be this one if the job has moved. It
+// would show a job that has failed as cancelled.
+func TestOnlyTheShardOfAJobKnowsItsState(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	from, to := downBoard(t), testBoard("w1")
+	transferred(t, from, to, now)
+	_, known := to.State("a")
+	assert.False(t, known, "the state of a job that is open")
+	from.end(from.jobs["a"], work.Failed, now)
+	save(from)
+	to.Cancel("a", now)
+	save(to)
+	_, known = to.State("a")
+	assert.False(t, known, "the state of a job that has ended")
+	state, known := from.State("a")
+	assert.True(t, known)
+	assert.Equal(t, work.Failed, state)
+}
