Limit the reservations of tasks that are down by pool

Callers see: a long-running task that is down gets no capacity kept while enough is kept for tasks of another service. The same holds for the few workers for which a step has tickets. Found by reading.

Cause: the limit is a quarter of the workers of the task's pool, and was compared with the reservations of all pools.

Evidence: TestCapacityIsKeptInEachPool, which failed before.

Change: the workers of the pool that have such a reservation are counted.

--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -121,7 +121,7 @@
 // part of it that comes free, so that the whole is never free at once.
 func (b *Board) keepForRestart(down downTask, pool []*workerState, now time.Time) {
 	_, kept := b.reservations[down.key]
-	if kept || b.keeps.left == 0 || b.restartsKept() >= max(1, len(pool)/keptShare) {
+	if kept || b.keeps.left == 0 || workersKept(pool) >= max(1, len(pool)/keptShare) {
 		return
 	}
 	service := b.serviceOf(down.job)
@@ -155,11 +155,11 @@
 	best.keptForRestarts = best.keptForRestarts.Add(size)
 }
 
-// restartsKept is the number of tasks that are down and have capacity kept.
-func (b *Board) restartsKept() int {
+// workersKept is the number of workers on which capacity is kept for tasks that are down.
+func workersKept(pool []*workerState) int {
 	count := 0
-	for _, held := range b.reservations {
-		if held.restart {
+	for _, w := range pool {
+		if w.keptForRestarts != (worker.Size{}) {
 			count++
 		}
 	}
--- a/internal/process/schedule/down_test.go
+++ b/internal/process/schedule/down_test.go
@@ -251,3 +251,32 @@
 		})
 	}
 }
+
+// Guards against a task that is down and for which no capacity is kept, since it is kept
+// for tasks of other services, or on workers for which the step has no ticket.
+func TestCapacityIsKeptInEachPool(t *testing.T) {
+	board, _, now := downBesideQuick(t)
+	listings := map[string]Listing{
+		"w0": board.workers["w0"].Listing,
+	}
+	mill := listings["w0"]
+	mill.ID, mill.Service, mill.Address = "w1", "mill", testAddress(1)
+	listings["w1"] = mill
+	board.SetWorkers(listings, true, now)
+	poll(board, "w1", now)
+	grind := testJob("grind", "none", tasks(8, 1000))
+	other := testJob("other", "none", tasks(1, 4000))
+	other.Steps[0].LongRunning = true
+	grind.Service, other.Service = "mill", "mill"
+	board.AddJob(grind, nil, false, now, now)
+	accept(board, decideAndSave(board, now), now)
+	board.AddJob(other, nil, false, now, now)
+	down := board.jobs["other"].occurrences[0].steps[0].tasks[0]
+	down.endedAt = now.Add(-keptAfter)
+	now = now.Add(scanInterval)
+	poll(board, "w0", now)
+	poll(board, "w1", now)
+	board.Decide(now, true)
+	assert.Contains(t, board.reservations, down.key)
+	assert.Len(t, board.reservations, 2)
+}
