Keep a task on its way to another shard from being started here

A long-running task ran in two shards, for as long as neither run failed. While the commit of its transfer was in flight, capacity that was kept for it after a preemption came free, and placeReturning started it, as that did not ask whether it departs; or its worker listed a run that an earlier copy of a start had begun, and it was adopted. TransferDone then made the task one of the other shard, beside a claim that nothing stopped.

Found by reading; both cases of TestDepartingTaskIsNotStartedHere failed before: a start for w0 after the transfer, and a claim that was not orphaned. Capacity is not kept for a task that departs, placeReturning asks what all other starts ask, and a listed run of it is stopped.

--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -34,6 +34,7 @@
 			}
 		case t.phase != waiting:
 			delete(b.urgentCapacity.preempted, key)
+		case t.departing:
 		case !reservedSize(step.spec).FitsIn(w.Capacity.Sub(w.longRunningSize())):
 			// Other long-running tasks have taken its place, so that what is kept
 			// here would only be missing elsewhere.
@@ -107,7 +108,7 @@
 			return
 		}
 		held, ok := b.reservations[t.key]
-		if !ok || t.phase != waiting || now.Before(t.notBefore) || !b.mayStartTask(j, t) {
+		if !ok || !b.startable(j, t, now) {
 			continue
 		}
 		w := b.workers[held.worker]
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -145,7 +145,7 @@
 		b.stop(w.ID, row.Key, row.Run, "not_wanted")
 		return nil
 	}
-	if b.open[row.Key.Job] == nil || t.phase != waiting {
+	if b.open[row.Key.Job] == nil || t.phase != waiting || t.departing {
 		// No task needs the run, but it holds its capacity until it has ended.
 		held := newClaim(j, step.spec, row.Run, now)
 		held.confirmed, held.orphaned = true, true
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -269,3 +269,45 @@
 	assert.True(t, known)
 	assert.Equal(t, work.Failed, state)
 }
+
+// A task on its way to another shard is not started from capacity that is kept for it
+// after a preemption, and a run that its worker lists is not taken over: both would go on
+// beside the run in the other shard.
+func TestDepartingTaskIsNotStartedHere(t *testing.T) {
+	tests := map[string]func(board *Board, now time.Time){
+		"capacity is returned": func(board *Board, now time.Time) {
+			report(board, "w0", testBorn, now)
+		},
+		"an earlier copy of a start arrives": func(board *Board, now time.Time) {
+			board.ApplyReport("w0", Inventory{
+				Born:     testBorn,
+				Sent:     now,
+				Received: now,
+				Running: []RunningTask{{
+					Key: firstTask("long"),
+					Run: board.newestRun(),
+				}},
+			}, now)
+		},
+	}
+	for name, happens := range tests {
+		t.Run(name, func(t *testing.T) {
+			from, now := preemptedBoard(t)
+			now = now.Add(returnAfter - time.Second/10)
+			report(from, "w0", testBorn, now)
+			from.workers["w0"].blockedUntil = now
+			transfers := transfersOf(now, from, testBoard("w1"))
+			require.Len(t, transfers, 1)
+			now = now.Add(time.Second / 5)
+			happens(from, now)
+			effects := decideAndSave(from, now)
+			from.TransferDone(transfers[0])
+			effects.Starts = append(effects.Starts, decideAndSave(from, now).Starts...)
+			assert.Empty(t, effects.Starts, "the task is started in both shards")
+			for _, held := range from.workers["w0"].claims {
+				assert.True(t, held.orphaned, "a run goes on beside the one in the other shard")
+			}
+			assert.Zero(t, from.jobs["long"].claims)
+		})
+	}
+}
