Keep the checkpoint of a returned task when another one leaves

After a change of the leader, a long-running task began anew, without the checkpoint that the last leader had acknowledged. One round takes back tasks and transfers others; each commit writes the progress of the job as it was when the round was decided. If both were of one job, the later commit listed the returned task as elsewhere and left out its checkpoint, while the earlier one had deleted the location that held it. Nothing wrote the progress again before the next change of the job.

Found by reading; TestCheckpointOfAReturnedTaskIsKeptByTheNextTransfer failed before (checkpoint "", want "newest"). The progress now has what is being taken back, whatever becomes of that: where a task is, its location says. For the same reason two tasks that left in one round were not both kept from a leader of an earlier release; the progress is written again once all commits are done (TestEarlierReleaseDoesNotStartTasksTransferredTogether).

--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -349,8 +349,9 @@
 				if number%8 == 0 {
 					bits = append(bits, 0)
 				}
-				if t.phase == done || t.phase == elsewhere {
+				if t.phase == done || t.phase == elsewhere && !t.departing {
 					// A leader of an earlier release must not start what is elsewhere.
+					// What is being taken back may be here once this is written.
 					bits[number/8] |= 1 << (number % 8)
 				} else {
 					t.save(&out, number, step.spec)
--- a/internal/process/schedule/transfer.go
+++ b/internal/process/schedule/transfer.go
@@ -214,6 +214,9 @@
 		return
 	}
 	b.Written(j.work.ID, transfer.Version, true)
+	if j.transfers > 0 {
+		b.markChanged(j) // the commits that follow write the progress with this task
+	}
 }
 
 // TransferFailed keeps a task whose transfer has had no effect.
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -311,3 +311,74 @@
 		})
 	}
 }
+
+// twoDownBoard returns a board of two workers without room, where both tasks of job "a"
+// have been down since testStart, with a checkpoint each.
+func twoDownBoard(t *testing.T) *Board {
+	t.Helper()
+	board := testBoard("w0", "w1")
+	board.AddJob(testJob("a", "quotes", running(2, 4000)), nil, false, testStart, testStart)
+	accept(board, decideAndSave(board, testStart), testStart)
+	for _, task := range board.jobs["a"].occurrences[0].steps[0].tasks {
+		task.checkpoint = "of " + task.key.String()
+		board.release(board.workers[task.worker], task.key, testStart)
+	}
+	for _, w := range board.workers {
+		w.Draining = true
+	}
+	return board
+}
+
+// The commits of one round that take back a task and transfer another one of the same
+// job follow each other. The later one must not undo what the earlier one has saved:
+// a successor would start the returned task without its checkpoint.
+func TestCheckpointOfAReturnedTaskIsKeptByTheNextTransfer(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	board, other := twoDownBoard(t), testBoard("w2")
+	transfers := transfersOf(now, board, other)
+	require.Len(t, transfers, 2)
+	board.TransferDone(transfers[0])
+	board.TransferFailed(transfers[1])
+	back, leaving := transfers[0].Task, transfers[1].Task.Key
+	returned, ok := board.Returning(&work.Location{
+		Key:        back.Key,
+		Checkpoint: "newest",
+		LastRun:    back.LastRun,
+	}, now)
+	require.True(t, ok)
+	now = now.Add(2 * sentMemory)
+	transfers = transfersOf(now, board, other)
+	require.Len(t, transfers, 1)
+	require.Equal(t, leaving, transfers[0].Task.Key)
+	board.TakenBack(returned, true, now)
+	board.TransferDone(transfers[0])
+
+	successor := testBoard("w0", "w1")
+	successor.AddJob(transfers[0].Task.Job, &transfers[0].Progress, true, now, now)
+	successor.Locate(&work.Location{
+		Key:   leaving,
+		Shard: 1,
+	})
+	successor.LocationsKnown()
+	successor.TrustPlacements()
+	starts := decideAndSave(successor, now).Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, back.Key, starts[0].Key)
+	assert.Equal(t, "newest", starts[0].Checkpoint)
+}
+
+// Two tasks of a job that leave in one round are both kept from a leader of an earlier
+// release: the second commit writes the job's progress without knowing whether the first
+// one has taken effect.
+func TestEarlierReleaseDoesNotStartTasksTransferredTogether(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	board := twoDownBoard(t)
+	transfers := transfersOf(now, board, testBoard("w2"))
+	require.Len(t, transfers, 2)
+	for _, transfer := range transfers {
+		board.TransferDone(transfer)
+	}
+	records := save(board)
+	require.Len(t, records, 1)
+	assert.Equal(t, []byte{3}, records[0].Progress.Done)
+}
