Log the skew of long-running work between shards

One figure in the schedule line: the greatest difference between two shards in the share of their cores that long-running work takes or waits for.

--- a/internal/process/leader/loads.go
+++ b/internal/process/leader/loads.go
@@ -101,6 +101,16 @@
 	return out
 }
 
+// skew returns the greatest difference between the shares of two shards' capacity that
+// long-running work of a service takes, as the recent loads have it.
+func (m *moves) skew(now time.Time) float64 {
+	skew := 0.0
+	for _, loads := range m.byService(m.loads[m.term.leader.config.Shard].services, now) {
+		skew = max(skew, shard.Skew(loads, func(load shard.Load) int64 { return load.LongRunning }))
+	}
+	return skew
+}
+
 // publishLate publishes the load of a leader that has begun to be late. Others
 // have to know before they are late for long enough to resign themselves.
 func (m *moves) publishLate(now time.Time) {
--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -22,7 +22,8 @@
 		"delayed", summary.Delayed, "unsettled", len(unsettled), "running", summary.Running,
 		"fillers", summary.Fillers, "serving", summary.Serving, "workers", summary.Workers, "capacity", summary.Capacity,
 		"booked", summary.Allocated, "unused", summary.Unused, "paced", summary.Throttled, "memory_share", summary.MemoryShare,
-		"preempted_down", summary.Down, "events", len(t.leader.events), "orders", len(t.waiting), "late", t.leader.lag.judge.delay)
+		"preempted_down", summary.Down, "events", len(t.leader.events), "orders", len(t.waiting), "late", t.leader.lag.judge.delay,
+		"long_running_skew", t.moves.skew(now))
 	t.summariseOrganisations(now)
 	t.reportWaits(summary.Placement)
 	t.reportReasons(now)
