Try a starving long-running filler after one that is not

Callers see: a long-running filler of which nothing runs waits in a service with much free capacity, if a filler of the same image that is down found no worker before it. Found by reading; the order of tasks that are down had brought it.

Cause: a starving filler may interfere where others may not, so that a size that was recorded as a shortage doesn't rule it out. placeStep exempts it, placeDown did not.

Evidence: TestStarvingFillerThatIsDownIsTried, which failed before.

Change: the same exemption.

--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -75,7 +75,7 @@
 			return w
 		}
 	}
-	if shortages.rulesOut(step.spec) {
+	if shortages.rulesOut(step.spec) && !b.starving(t.key.Job) {
 		return nil
 	}
 	w := b.chooseWorker(step, t, pool)
--- a/internal/process/schedule/down_test.go
+++ b/internal/process/schedule/down_test.go
@@ -280,3 +280,22 @@
 	assert.Contains(t, board.reservations, down.key)
 	assert.Len(t, board.reservations, 2)
 }
+
+// Guards against a long-running filler that has nothing running in a service with much
+// free capacity, and waits since one that is not starving found no worker.
+func TestStarvingFillerThatIsDownIsTried(t *testing.T) {
+	board := testBoard("w0")
+	filler := tasks(1, 1000)
+	filler.Filler, filler.LongRunning, filler.Image = true, true, "print"
+	board.AddJob(testJob("fill", "plans", filler), nil, false, testStart, testStart)
+	step := board.jobs["fill"].occurrences[0].steps[0]
+	step.tasks[0].endedAt = testStart
+	now := testStart.Add(2 * starvationTimeout)
+	poll(board, "w0", now)
+	board.now = now
+	board.measureUtilization()
+	require.True(t, board.starving("fill"))
+	found := newShortage()
+	found.record(step.spec)
+	assert.NotNil(t, board.restartWorker(step, step.tasks[0], []*workerState{board.workers["w0"]}, found))
+}
