--- a/internal/process/schedule/giveback.go
+++ b/internal/process/schedule/giveback.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,7 +20,8 @@
 // capacity that comes free, so that a larger task never finds all of it free at
 // once.
 func (b *Board) returnCapacity(now time.Time) {
-	for key, id := range b.urgentCapacity.preempted {
+	for _, key := range slices.SortedFunc(maps.Keys(b.urgentCapacity.preempted), compareKeys) {
+		id := b.urgentCapacity.preempted[key]
 		j, w := b.open[key.Job], b.workers[id]
 		if j == nil || w == nil {
 			delete(b.urgentCapacity.preempted, key)
