Keep tasks in doubt after three crashes in their shard

A job was shown as failed although its task may only have run beside the cause of three crashes: such a task is given up after the fourth. Transferred to another shard it was returned at once, as that shard leaves the decision to the shard of the job, which gave the job up after the third.

Found by reading; TestTaskInDoubtAfterThreeCrashesStaysInItsShard failed before. A task with as many crashes is not transferred.

--- a/internal/process/schedule/transfer.go
+++ b/internal/process/schedule/transfer.go
@@ -124,8 +124,8 @@
 // addTransferable adds the tasks of a step that have waited long enough.
 func (b *Board) addTransferable(out []transferCandidate, j *job, occ *occurrence, step *stepState, now time.Time) []transferCandidate {
 	for _, t := range step.tasks {
-		if t.phase != waiting || t.departing || b.taskDoubt(t, j, now) {
-			continue
+		if t.phase != waiting || t.departing || b.taskDoubt(t, j, now) || !j.partial && len(t.crashes) >= maxCrashes {
+			continue // the shard of its job has yet to decide on one with as many crashes
 		}
 		since := latestOf(latestOf(j.seen, t.arrivedAt), latestOf(occ.readySince(step, &task{}), t.absentSince()))
 		if now.Sub(since) < transferAfter && !t.mustReturn(j) {
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -382,3 +382,13 @@
 	require.Len(t, records, 1)
 	assert.Equal(t, []byte{3}, records[0].Progress.Done)
 }
+
+// A task beside others that may as well have crashed three workers goes on until a fourth
+// crash. It is not transferred: it would be returned at once, and its job be given up.
+func TestTaskInDoubtAfterThreeCrashesStaysInItsShard(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	board := downBoard(t)
+	_, _, down := board.jobs["a"].find(firstTask("a"))
+	down.crashes = []int64{1, 2, 3}
+	assert.Empty(t, transfersOf(now, board, testBoard("w1")))
+}
