Let a returned task leave a full shard without a second wait

A task that was down in a second shard and was returned waited for another second in its own before it could leave for a third: with the waits before and the rounds between them more than 4 s, where 3 s are the target. Its own shard tries to start it with the next decision, long before the next round.

Found by reading; TestReturnedTaskLeavesAFullShardAtOnce failed before. Only a task that has come from the shard of its job waits anew.

--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -71,7 +71,7 @@
 	located     bool
 	lastWorkers []string
 	// departing is set while the task is on its way to another shard, and arrivedAt is
-	// when it last came from one.
+	// when it last came from the shard of its job.
 	departing bool
 	arrivedAt time.Time
 	// shard is the one of a task that is elsewhere.
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -392,3 +392,22 @@
 	down.crashes = []int64{1, 2, 3}
 	assert.Empty(t, transfersOf(now, board, testBoard("w1")))
 }
+
+// A task that was returned, as its own shard or a third one had room, and finds its own
+// shard full does not wait there anew: with two waits before, it would be down for more
+// than 3 s beside room in the service.
+func TestReturnedTaskLeavesAFullShardAtOnce(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	from, to := downBoard(t), testBoard("w1")
+	transfer := transferred(t, from, to, now)
+	now = now.Add(transferAfter)
+	returned, ok := from.Returning(&work.Location{
+		Key:     transfer.Task.Key,
+		Down:    3 * transferAfter,
+		LastRun: transfer.Task.LastRun,
+	}, now)
+	require.True(t, ok)
+	from.TakenBack(returned, true, now)
+	from.sentPieces = nil
+	assert.Len(t, transfersOf(now, from, testBoard("w2")), 1)
+}
--- a/internal/process/schedule/transferred.go
+++ b/internal/process/schedule/transferred.go
@@ -160,7 +160,7 @@
 	if !done {
 		return
 	}
-	t.phase, t.arrivedAt = waiting, now
+	t.phase = waiting
 	step.waiting++
 	t.located, t.lastWorkers, j.hasLocated = true, nil, true
 	b.Written(j.work.ID, returned.Version, true)
