Acknowledge ends of a job that came to the shard again

A worker that did not answer while the last transferred task of a job left the shard kept the ends of that job, and all that came after them, if another task of the job came to the shard later: its progress is counted from version 0 again, and the ends waited for a higher one to be written.

Found by reading; TestEndsOfAJobThatCameAgainAreAcknowledged failed before. All that follows from the ends has left with the task, so that they are acknowledged. Tests of the package pass (75 s, known red skipped).

--- a/internal/process/schedule/transfer.go
+++ b/internal/process/schedule/transfer.go
@@ -211,6 +211,7 @@
 		delete(b.jobs, j.work.ID)
 		delete(b.open, j.work.ID)
 		delete(b.unsaved, j.work.ID)
+		b.dropEndsOf(j.work.ID)
 		return
 	}
 	b.Written(j.work.ID, transfer.Version, true)
@@ -219,6 +220,18 @@
 	}
 }
 
+// dropEndsOf lets workers forget the ends of a job that has left the board: all that
+// follows from them has left with it. If the job comes again, its versions begin anew.
+func (b *Board) dropEndsOf(job string) {
+	for _, w := range b.workers {
+		for i := range w.ends {
+			if w.ends[i].job == job {
+				w.ends[i].job, w.ends[i].version = "", 0
+			}
+		}
+	}
+}
+
 // TransferFailed keeps a task whose transfer has had no effect.
 func (b *Board) TransferFailed(transfer Transfer) {
 	if j, _, t := b.departing(transfer); t != nil {
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -411,3 +411,36 @@
 	from.sentPieces = nil
 	assert.Len(t, transfersOf(now, from, testBoard("w2")), 1)
 }
+
+// An end that a worker listed before the last task of its job left the shard is
+// acknowledged, although another task of the job has come since: a worker keeps the ends
+// that are not for good.
+func TestEndsOfAJobThatCameAgainAreAcknowledged(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	from, to := downBoard(t), testBoard("w1")
+	transfer := transferred(t, from, to, now)
+	accept(to, decideAndSave(to, now), now)
+	run := to.workers["w1"].claims[transfer.Task.Key].run
+	now = now.Add(time.Second)
+	to.ApplyReport("w1", Inventory{
+		Born:     testBorn,
+		Sent:     now,
+		Received: now,
+		Ended: []EndedTask{{
+			Number:     1,
+			Key:        transfer.Task.Key,
+			Run:        run,
+			Ending:     EndedStopped,
+			Checkpoint: "newest",
+		}},
+	}, now)
+	to.workers["w1"].Draining = true
+	now = now.Add(transferAfter)
+	transfers := to.Transfers(1, loadsOf(now, testBoard("w0"), to), now)
+	require.Len(t, transfers, 1)
+	require.Equal(t, "newest", transfers[0].Task.Checkpoint)
+	to.TransferDone(transfers[0])
+	to.AddTransferred(&transfer.Task, nil, false, now, now)
+	number, _ := to.LastSeen("w1")
+	assert.Equal(t, int64(1), number)
+}
