Delete the end of a job last, and only after its transferred tasks

A task whose job had been cancelled a minute before ran again, with an old checkpoint. When a shard drops an old job, one commit deleted the records of its transferred tasks and the next one its end and its cancellation, whatever became of the first. That fails without an effect whenever the answer to the commit before it was lost. A successor then found a task without an end and started it.

Found by reading; TestTransferredTaskOfADeletedJobStaysEnded failed before ("the cancelled task runs": w1). Each commit now follows the success of the one before, and the last one deletes the end. Tests of the package pass (147 s, known red skipped).

--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -191,12 +191,16 @@
 	for _, id := range ids {
 		t.removed.add(id, t.moves.revisions[id], now)
 		t.owners.remove(id)
-		t.transfers.deleteOf(id, now)
-		commit.Delete = append(commit.Delete, t.keys().Job(id), t.keys().Cancel(id), t.keys().State(id))
+		keys := []string{t.keys().Job(id), t.keys().Cancel(id), t.keys().State(id)}
 		if t.moves.revisions[id] != 0 {
-			commit.Delete = append(commit.Delete, MovedKey(id)) // of a job of another shard it is in use
+			keys = append(keys, MovedKey(id)) // of a job of another shard it is in use
 		}
 		delete(t.moves.revisions, id)
+		if tasks := t.transfers.forgetJob(id, now); len(tasks) > 0 {
+			t.transfers.deleteJob(tasks, keys)
+			continue
+		}
+		commit.Delete = append(commit.Delete, keys...)
 	}
 	t.writer.add(&pendingCommit{
 		commit: commit,
--- a/internal/process/leader/transfers.go
+++ b/internal/process/leader/transfers.go
@@ -333,15 +333,38 @@
 	}
 }
 
-// deleteOf deletes the records of a job's transferred tasks. It is called before the
-// job's cancellation is deleted, without which a successor would start them again.
-func (t *transfers) deleteOf(job string, now time.Time) {
+// forgetJob drops the records of a job's transferred tasks. It returns their keys, which
+// are to be deleted.
+func (t *transfers) forgetJob(job string, now time.Time) []string {
 	keys := slices.Sorted(maps.Keys(t.revisions[job]))
 	for _, key := range keys {
 		delete(t.returned, key)
 		t.forget(job, key, t.revisions[job][key], now)
 	}
-	t.deleteKeys(keys)
+	return keys
+}
+
+// deleteJob deletes the records of a job's transferred tasks, and then those of the job.
+// Its end is deleted last, and not at all if a commit before has failed: without it, a
+// successor would start the tasks again.
+func (t *transfers) deleteJob(tasks, job []string) {
+	batch := tasks[:min(len(tasks), store.MaxEntries-guardEntries-len(job))]
+	tasks = tasks[len(batch):]
+	commit := store.Commit{
+		Delete: slices.Clone(batch),
+	}
+	if len(tasks) == 0 {
+		commit.Delete = append(commit.Delete, job...)
+	}
+	t.term.writer.add(&pendingCommit{
+		commit: commit,
+		done: func(err error, _ time.Time) {
+			klog.InfoS("records of transferred tasks deleted", "keys", len(commit.Delete), "first", commit.Delete[0], "err", err)
+			if err == nil && len(tasks) > 0 {
+				t.deleteJob(tasks, job)
+			}
+		},
+	})
 }
 
 func (t *transfers) deleteKeys(keys []string) {
--- a/internal/process/leader/transfers_test.go
+++ b/internal/process/leader/transfers_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,15 +154,20 @@
 }
 
 func (s *transferSite) startHost(ctx context.Context, host string) *Group {
+	return s.startHostWith(ctx, host, s.store.Client())
+}
+
+// startHostWith starts a host that uses a client of the store.
+func (s *transferSite) startHostWith(ctx context.Context, host string, client store.Client) *Group {
 	config := s.leaderConfig(host)
-	config.Calls = s.running.calls()
+	config.Calls, config.Store = s.running.calls(), client
 	return s.startConfigured(ctx, config, twoShards)
 }
 
-// submitRunning submits a long-running job that takes a whole worker of a shard.
-func (s *transferSite) submitRunning(number int, id string) {
+// submitRunning submits the job of the task to shard 0. It takes a whole worker.
+func (s *transferSite) submitRunning() {
 	value, err := work.EncodeJob(&work.Job{
-		ID:      id,
+		ID:      s.task.Job,
 		Queue:   "quotes",
 		Service: "workshop",
 		Steps: []work.Step{
@@ -176,7 +183,7 @@
 		Accepted: time.Now(),
 	})
 	require.NoError(s.t, err)
-	s.put(KeysOf(number, 2).Job(id), value)
+	s.put(KeysOf(0, 2).Job(s.task.Job), value)
 }
 
 // drain marks a worker as draining or not, so that it is given nothing new.
@@ -218,7 +225,7 @@
 				defer stop()
 				group := s.startHost(ctx, "recife-1")
 				require.Eventually(t, func() bool { return leads(group) == 2 }, waitTimeout, 5*time.Millisecond)
-				s.submitRunning(0, s.task.Job)
+				s.submitRunning()
 				s.awaitRunOn("w0")
 				time.Sleep(2 * balanceInterval) // the loads of both shards are published
 				s.drain("w0", true)             // the task is stopped there
@@ -294,7 +301,7 @@
 			defer stop()
 			group := s.startHost(ctx, "recife-1")
 			require.Eventually(t, func() bool { return leads(group) == 2 }, waitTimeout, 5*time.Millisecond)
-			s.submitRunning(0, s.task.Job)
+			s.submitRunning()
 			s.awaitRunOn("w0")
 			s.drain("w0", true) // the task is stopped there
 			s.awaitRunOn("w1")
@@ -315,3 +322,45 @@
 		})
 	}
 }
+
+// A commit that deletes the record of a transferred task may fail. Its job's end must stay
+// then: without it, a successor starts a task that was cancelled long ago.
+func TestTransferredTaskOfADeletedJobStaysEnded(t *testing.T) {
+	s := newTransferSite(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	client, there := s.store.Client(), KeysOf(1, 2)
+	var failed atomic.Bool
+	client.Commit = func(ctx context.Context, commit store.Commit) (int64, error) {
+		if slices.Contains(commit.Delete, there.Transferred(s.task)) && failed.CompareAndSwap(false, true) {
+			return 0, store.ErrUnavailable
+		}
+		return s.store.Client().Commit(ctx, commit)
+	}
+	group := s.startHostWith(ctx, "recife-1", client)
+	require.Eventually(t, func() bool { return leads(group) == 2 }, waitTimeout, 5*time.Millisecond)
+	s.submitRunning()
+	s.awaitRunOn("w0")
+	s.drain("w0", true) // the task is stopped there
+	s.awaitRunOn("w1")
+	s.cancelWhereItIs(s.task.Job)
+	s.awaitRunOn("")
+	for _, each := range group.leaders {
+		require.Eventually(t, func() bool {
+			gone := make(chan bool, 1)
+			each.post(func(now time.Time) {
+				each.term.jobsDeletedAt = time.Time{}
+				each.term.deleteOldJobs(now.Add(time.Hour))
+				gone <- len(each.term.transfers.revisions) == 0
+			})
+			return <-gone
+		}, waitTimeout, 5*time.Millisecond)
+	}
+	require.Eventually(t, failed.Load, waitTimeout, 5*time.Millisecond)
+	time.Sleep(balanceInterval) // the commits that follow are done
+	stop()
+	s.startHost(t.Context(), "olinda-1")
+	time.Sleep(8 * balanceInterval)
+	assert.Empty(t, s.running.placeOf(s.task), "the cancelled task runs")
+	assert.Empty(t, s.running.faults)
+}
