Start a task that comes again before its return is settled

A long-running task stayed down for the rest of the term of a leader. The answer to the commit that returned it was lost; its shard took it back and transferred it again before the commit was settled. The leader passed over the new record, as the task was still its own on its way out, and dropped it when it learned that the return had taken effect. All records named that shard, whose leader did not start the task.

Found by reading; TestTaskIsTransferredAgainBeforeItsReturnIsSettled failed before (does not run on w1 for 10 s). The record is kept until the return is settled.

--- a/internal/process/leader/transfers.go
+++ b/internal/process/leader/transfers.go
@@ -32,6 +32,17 @@
 	unsettled []*transferCommit
 	returned  map[string]work.Location
 	orphans   []string
+	// returning holds the keys of the tasks whose return is in flight, and early the
+	// records of those that were transferred to this shard again since.
+	returning map[string]bool
+	early     map[string]earlyTask
+}
+
+// earlyTask is the record of a task that was seen before the return of the task was
+// known to be done.
+type earlyTask struct {
+	task *work.TransferredTask
+	item store.Item
 }
 
 // storedTask and storedLocation are records with their revisions. A record of a task is
@@ -52,6 +63,8 @@
 		revisions: map[string]map[string]int64{},
 		removed:   removedJobs{},
 		returned:  map[string]work.Location{},
+		returning: map[string]bool{},
+		early:     map[string]earlyTask{},
 	}
 }
 
@@ -95,6 +108,13 @@
 	if t.removed.covers(item.Key, item.Revision) || t.revisions[task.Key.Job][item.Key] >= item.Revision {
 		return
 	}
+	if t.returning[item.Key] {
+		t.early[item.Key] = earlyTask{
+			task: task,
+			item: item,
+		}
+		return
+	}
 	t.note(task.Key.Job, item.Key, item.Revision)
 	t.term.owners.add(task.Job)
 	klog.InfoS("transferred task seen", "task", task.Key, "home", task.Home, "down", task.Down, "revision", item.Revision)
@@ -194,6 +214,9 @@
 		t.term.leader.board.TransferFailed(next)
 		return
 	}
+	if next.Returns() {
+		t.returning[commit.key] = true
+	}
 	commit.done = func(effect bool, err error, now time.Time) { t.sent(next, commit, effect, err, now) }
 	t.write(commit)
 }
@@ -275,6 +298,11 @@
 	}
 	klog.InfoS("task transferred", "task", next.Task.Key, "from", from, "to", next.To, "home", next.Task.Home,
 		"down", next.Task.Down, "done", effect, "err", err)
+	delete(t.returning, commit.key)
+	if early, ok := t.early[commit.key]; ok {
+		delete(t.early, commit.key)
+		t.observeTransferred(early.task, early.item, now)
+	}
 }
 
 // takeBack commits that a task which was returned belongs to this shard again.
--- a/internal/process/leader/transfers_test.go
+++ b/internal/process/leader/transfers_test.go
@@ -364,3 +364,45 @@
 	assert.Empty(t, s.running.placeOf(s.task), "the cancelled task runs")
 	assert.Empty(t, s.running.faults)
 }
+
+// The answer to the commit that returns a task may be lost, and the task be transferred to
+// the shard again before its leader knows the outcome. It is started there all the same: a
+// record that is passed over belongs to no shard for the rest of the term.
+func TestTaskIsTransferredAgainBeforeItsReturnIsSettled(t *testing.T) {
+	s := newTransferSite(t)
+	client, key := s.store.Client(), KeysOf(1, 2).Transferred(s.task)
+	var silent, returned atomic.Bool
+	client.Commit = func(ctx context.Context, commit store.Commit) (int64, error) {
+		concerns := func(condition store.Condition) bool { return condition.Key == key }
+		if !silent.Load() || !slices.ContainsFunc(commit.If, concerns) {
+			return s.store.Client().Commit(ctx, commit)
+		}
+		if slices.Contains(commit.Delete, key) {
+			_, err := s.store.Client().Commit(ctx, commit)
+			returned.Store(err == nil)
+		}
+		return 0, store.ErrUnknown
+	}
+	group := s.startHostWith(t.Context(), "recife-1", client)
+	require.Eventually(t, func() bool { return leads(group) == 2 }, waitTimeout, 5*time.Millisecond)
+	s.submitRunning()
+	s.awaitRunOn("w0")
+	s.drain("w0", true) // the task is stopped there
+	s.awaitRunOn("w1")
+	silent.Store(true)
+	s.drain("w0", false)
+	s.drain("w1", true)
+	s.awaitRunOn("w0")
+	require.True(t, returned.Load())
+	s.drain("w1", false)
+	s.drain("w0", true)
+	require.Eventually(t, func() bool {
+		_, err := s.store.Client().Get(t.Context(), key)
+		return err == nil
+	}, waitTimeout, 5*time.Millisecond, "the task is not transferred again")
+	time.Sleep(balanceInterval)
+	silent.Store(false)
+	s.awaitRunOn("w1")
+	s.requireTransferred()
+	assert.Empty(t, s.running.faults)
+}
