Let long-running tasks that fail at once go by their rank

Quick tasks were not started at all for as long as some hundred long-running tasks failed right after their starts, as those of a faulty image do. Restarts go before everything else, and took all starts of each decision.

--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -14,9 +14,17 @@
 }
 
 // restarts reports whether a task of the step waits after a run that has failed, was
-// lost or was stopped, but for a preemption: its capacity is returned later.
+// lost or was stopped, but for a preemption: its capacity is returned later. One whose
+// runs end at once goes by its rank: hundreds of them, as of a faulty image, would take
+// all starts from quick tasks.
 func (s *stepState) restarts(t *task) bool {
-	return s.spec.LongRunning && !s.spec.Gang && t.phase == waiting && !t.endedAt.IsZero() && !t.wasPreempted()
+	return s.spec.LongRunning && !s.spec.Gang && t.phase == waiting && !t.endedAt.IsZero() && !t.wasPreempted() && !t.endedAtOnce()
+}
+
+// endedAtOnce reports whether the task's last run did not outlive its start. A start that
+// was refused since does not count.
+func (t *task) endedAtOnce() bool {
+	return t.downSince.After(t.startedAt) && t.downSince.Sub(t.startedAt) < startupTime
 }
 
 // wasPreempted reports whether the task's last run was stopped for a quick task.
--- a/internal/process/schedule/down_test.go
+++ b/internal/process/schedule/down_test.go
@@ -93,3 +93,45 @@
 	require.Len(t, starts, 1)
 	assert.Equal(t, "b", starts[0].Key.Job)
 }
+
+// Guards against long-running tasks that fail at once, as those of a faulty image do, and
+// take all starts of each decision from quick tasks: their restarts go before everything
+// else.
+func TestTasksThatFailAtOnceLeaveStartsToQuickOnes(t *testing.T) {
+	const (
+		startsPerDecision = 64
+		runTime           = 50 * time.Millisecond
+		decision          = 15 * time.Millisecond
+	)
+	board := testBoard("w0", "w1", "w2", "w3")
+	failing := tasks(300, 10)
+	failing.LongRunning = true
+	board.AddJob(testJob("failing", "quotes", failing), nil, false, testStart, testStart)
+	running, started := map[work.TaskKey]Start{}, map[string]int{}
+	startedAt := map[work.TaskKey]time.Time{}
+	for now := testStart; now.Before(testStart.Add(3 * time.Second)); now = now.Add(decision) {
+		if now.Sub(testStart) > time.Second {
+			board.AddJob(testJob("quick", "quotes", tasks(600, 1)), nil, false, now, now)
+		}
+		for key, start := range running {
+			if now.Sub(startedAt[key]) >= runTime {
+				board.release(board.workers[start.Worker], key, now)
+				delete(running, key)
+			}
+		}
+		for id := range board.workers {
+			poll(board, id, now)
+		}
+		board.LimitStarts(startsPerDecision)
+		effects := decideAndSave(board, now)
+		accept(board, effects, now)
+		for _, start := range effects.Starts {
+			started[start.Key.Job]++
+			if start.Key.Job == "failing" {
+				running[start.Key], startedAt[start.Key] = start, now
+			}
+		}
+	}
+	t.Logf("started: %v", started)
+	assert.Equal(t, 600, started["quick"])
+}
