--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -19,15 +19,22 @@
 
 // isDown reports whether a task of the step is down: it waits after a run that has
 // failed, was lost or was stopped. A preempted one isn't while its capacity is used by
-// quick tasks, or is kept to be returned to it.
+// quick tasks, or is kept to be returned to it. One whose runs end at once goes by its
+// rank: hundreds of them, as of a faulty image, would take all starts from quick tasks.
 func (b *Board) isDown(step *stepState, t *task, now time.Time) bool {
-	if !step.spec.LongRunning || step.spec.Gang || t.phase != waiting || t.endedAt.IsZero() {
+	if !step.spec.LongRunning || step.spec.Gang || t.phase != waiting || t.endedAt.IsZero() || t.endedAtOnce() {
 		return false
 	}
 	_, returns := b.urgentCapacity.preempted[t.key]
 	return !t.wasPreempted() || !returns && !now.Before(t.entitledSince())
 }
 
+// endedAtOnce reports whether the task's last run did not outlive its start. A start that
+// was refused since does not count.
+func (t *task) endedAtOnce() bool {
+	return t.downSince.After(t.startedAt) && t.downSince.Sub(t.startedAt) < startupTime
+}
+
 // wasPreempted reports whether the task's last run was stopped for a quick task.
 func (t *task) wasPreempted() bool {
 	return !t.preemptedAt.IsZero() && !t.startedAt.After(t.preemptedAt)
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -491,3 +491,65 @@
 	require.Len(t, records, 1)
 	assert.Equal(t, []byte{3}, records[0].Progress.Done)
 }
+
+// A task beside others that may as well have crashed three workers goes on until a fourth
+// crash. It is not transferred: it would be returned at once, and its job be given up.
+func TestTaskInDoubtAfterThreeCrashesStaysInItsShard(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	board := downBoard(t)
+	_, _, down := board.jobs["a"].find(firstTask("a"))
+	down.crashes = []int64{1, 2, 3}
+	assert.Empty(t, transfersOf(now, board, testBoard("w1")))
+}
+
+// A task that was returned, as its own shard or a third one had room, and finds its own
+// shard full does not wait there anew: with two waits before, it would be down for more
+// than 3 s beside room in the service.
+func TestReturnedTaskLeavesAFullShardAtOnce(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	from, to := downBoard(t), testBoard("w1")
+	transfer := transferred(t, from, to, now)
+	now = now.Add(transferAfter)
+	returned, ok := from.Returning(&work.Location{
+		Key:     transfer.Task.Key,
+		Down:    3 * transferAfter,
+		LastRun: transfer.Task.LastRun,
+	}, now)
+	require.True(t, ok)
+	from.TakenBack(returned, true, now)
+	from.sentPieces = nil
+	assert.Len(t, transfersOf(now, from, testBoard("w2")), 1)
+}
+
+// An end that a worker listed before the last task of its job left the shard is
+// acknowledged, although another task of the job has come since: a worker keeps the ends
+// that are not for good.
+func TestEndsOfAJobThatCameAgainAreAcknowledged(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	from, to := downBoard(t), testBoard("w1")
+	transfer := transferred(t, from, to, now)
+	accept(to, decideAndSave(to, now), now)
+	run := to.workers["w1"].claims[transfer.Task.Key].run
+	now = now.Add(time.Second)
+	to.ApplyReport("w1", Inventory{
+		Born:     testBorn,
+		Sent:     now,
+		Received: now,
+		Ended: []EndedTask{{
+			Number:     1,
+			Key:        transfer.Task.Key,
+			Run:        run,
+			Ending:     EndedStopped,
+			Checkpoint: "newest",
+		}},
+	}, now)
+	to.workers["w1"].Draining = true
+	now = now.Add(transferAfter)
+	transfers := to.Transfers(1, loadsOf(now, testBoard("w0"), to), now)
+	require.Len(t, transfers, 1)
+	require.Equal(t, "newest", transfers[0].Task.Checkpoint)
+	to.TransferDone(transfers[0])
+	to.AddTransferred(&transfer.Task, nil, false, now, now)
+	number, _ := to.LastSeen("w1")
+	assert.Equal(t, int64(1), number)
+}
