--- a/internal/process/schedule/shards_simulation_test.go
+++ b/internal/process/schedule/shards_simulation_test.go
@@ -42,6 +42,8 @@
 	// quick work ask for.
 	longShare, quickShare float64
 	length                time.Duration
+	// vacant is for how long there are no leaders at first.
+	vacant time.Duration
 	// events are what happens besides the load, by time.
 	events []shardsEvent
 	// replaced is the mean number of long-running jobs a second that are cancelled
@@ -109,7 +111,11 @@
 		}
 	}
 	for number := range plan.shards {
-		sim.begin(number)
+		if plan.vacant == 0 {
+			sim.begin(number)
+		} else {
+			sim.post(plan.vacant, func() { sim.begin(number) })
+		}
 	}
 	sim.planRush()
 	return sim
--- a/internal/process/schedule/shards_test.go
+++ b/internal/process/schedule/shards_test.go
@@ -72,11 +72,14 @@
 // while long-running jobs arrive.
 func shardsPlans() map[string]shardsPlan {
 	const rush = 1100 * time.Millisecond
+	vacant := shardsPlanOf(3)
+	vacant.vacant = rush
 	return map[string]shardsPlan{
-		"two shards":                            shardsPlanOf(2),
-		"three shards":                          shardsPlanOf(3),
-		"four shards":                           shardsPlanOf(4),
-		"two leaders of two resign in the rush": shardsPlanOf(2, resignations(rush, 0, 1)),
+		"two shards":                                shardsPlanOf(2),
+		"three shards":                              shardsPlanOf(3),
+		"four shards":                               shardsPlanOf(4),
+		"leaders begin in the rush":                 vacant,
+		"two leaders of two resign in the rush":     shardsPlanOf(2, resignations(rush, 0, 1)),
 		"three leaders of three resign in the rush": shardsPlanOf(3, resignations(rush, 0, 1, 2)),
 		"two leaders of four resign in the rush":    shardsPlanOf(4, resignations(rush, 1, 3)),
 		"leaders resign after the rush":             shardsPlanOf(3, resignations(8*time.Second, 0), resignations(14*time.Second, 1, 2)),
