Restart a task whose run ended at once after a second

A task whose last run had ended at once went by the rank of its job for good: in TestNoLongRunningTaskStaysDownBesideQuickOnes, where half of the runs fail within 10 s, some of them at once, a task stayed down for 29 s (bound 6 s). It goes before everything else once it has been down for a second.

--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -19,10 +19,14 @@
 
 // isDown reports whether a task of the step is down: it waits after a run that has
 // failed, was lost or was stopped. A preempted one isn't while its capacity is used by
-// quick tasks, or is kept to be returned to it. One whose runs end at once goes by its
-// rank: hundreds of them, as of a faulty image, would take all starts from quick tasks.
+// quick tasks, or is kept to be returned to it. One whose last run ended at once goes by
+// its rank for a while: hundreds of them, as of a faulty image, would take all starts
+// from quick tasks.
 func (b *Board) isDown(step *stepState, t *task, now time.Time) bool {
-	if !step.spec.LongRunning || step.spec.Gang || t.phase != waiting || t.endedAt.IsZero() || t.endedAtOnce() {
+	if !step.spec.LongRunning || step.spec.Gang || t.phase != waiting || t.endedAt.IsZero() {
+		return false
+	}
+	if t.endedAtOnce() && now.Sub(t.downSince) < startupTime {
 		return false
 	}
 	_, returns := b.urgentCapacity.preempted[t.key]
