Transfer fillers only to unused cores

A long-running filler claims no cores, so that each worker with memory seemed to have room for it.

It now needs a piece with as many cores as it asks for.

--- a/internal/process/schedule/freepieces.go
+++ b/internal/process/schedule/freepieces.go
@@ -82,7 +82,7 @@
 // whether there was one.
 func takePiece(pieces []shard.Piece, spec *work.Step) bool {
 	best := -1
-	size := reservedSize(spec)
+	size := spec.Size // a filler needs unused cores too
 	for i, piece := range pieces {
 		if !size.FitsIn(piece.Size) || spec.Label != "" && !slices.Contains(piece.Labels, spec.Label) {
 			continue
--- a/internal/process/schedule/transfer_test.go
+++ b/internal/process/schedule/transfer_test.go
@@ -444,3 +444,20 @@
 	number, _ := to.LastSeen("w1")
 	assert.Equal(t, int64(1), number)
 }
+
+// A filler claims no cores, so that a worker whose cores are all in use seems to have room
+// for it. It is not transferred there: it would be returned and transferred again without
+// end, with two commits each time.
+func TestFillerIsNotTransferredToAShardWithoutUnusedCores(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	board, other := downBoard(t), testBoard("w1")
+	board.jobs["a"].work.Steps[0].Filler = true
+	other.AddJob(testJob("b", "quotes", running(1, 7000)), nil, false, testStart, testStart)
+	accept(other, decideAndSave(other, testStart), testStart)
+	require.Nil(t, other.chooseWorker(board.jobs["a"].occurrences[0].steps[0], board.jobs["a"].occurrences[0].steps[0].tasks[0], other.pool(poolKey{
+		service:     "workshop",
+		longRunning: true,
+		excluded:    true,
+	}, now)), "the other shard has room")
+	assert.Empty(t, transfersOf(now, board, other))
+}
