--- a/internal/process/schedule/pieces_test.go
+++ b/internal/process/schedule/pieces_test.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -100,3 +102,47 @@
 	assert.Equal(t, loads, read)
 	t.Logf("%d bytes", len(value))
 }
+
+// Workers with fewer free cores than others have the label, the accelerator or the memory
+// that a task asks for. The other shards have to know of one: a task that they do not see
+// room for stays down for as long as its shard is full.
+func TestPiecesHaveWhatFewWorkersHave(t *testing.T) {
+	now := testStart.Add(2 * transferAfter)
+	tests := map[string]struct {
+		change func(w *workerState)
+		ask    func(step *work.Step)
+	}{
+		"label": {
+			change: func(w *workerState) { w.Labels = []string{"rare"} },
+			ask:    func(step *work.Step) { step.Label = "rare" },
+		},
+		"accelerator": {
+			change: func(w *workerState) { w.Capacity.Accelerators = 1 },
+			ask:    func(step *work.Step) { step.Size.Accelerators = 1 },
+		},
+		"memory": {
+			change: func(w *workerState) { w.Capacity.MemoryBytes = 2 << 30 },
+			ask:    func(step *work.Step) { step.Size.MemoryBytes = 2 << 30 },
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			board := downBoard(t)
+			tt.ask(&board.jobs["a"].work.Steps[0])
+			ids := []string{}
+			for i := range shard.MaxPieces + 1 {
+				ids = append(ids, fmt.Sprintf("x%02d", i))
+			}
+			other := testBoard(ids...)
+			rare := other.workers["x03"]
+			rare.Capacity.MilliCores = 4000
+			tt.change(rare)
+			assert.Len(t, transfersOf(now, board, other), 1)
+			pieces := other.Loads(now)["workshop"].Pieces
+			assert.LessOrEqual(t, len(pieces), shard.MaxPieces)
+			assert.True(t, slices.IsSortedFunc(pieces, func(a, c shard.Piece) int {
+				return cmp.Compare(c.Size.MilliCores, a.Size.MilliCores)
+			}), "the largest piece goes first")
+		})
+	}
+}
