Bound how long a later leader of another shard withholds a resignation

A leader on a slow host stayed for as long as the leader of another shard was later, although hosts that kept up were there. The other one may never resign: no host is better for it, or it has resigned in vain.

Found by reading; the new case of TestLeaderStaysInARush failed before ("other_shard_as_late" after 6.5 s). After rushTime and lagTime the leader resigns, unless another shard has just changed its leader.

--- a/internal/process/leader/lag.go
+++ b/internal/process/leader/lag.go
@@ -54,6 +54,9 @@
 	// largerHost is how many times this host's processor time another one has that
 	// carries a risen load better.
 	largerHost = 2
+	// laterTime is for how long a leader of another shard that is later may withhold a
+	// resignation. That one resigns in less, unless no other host is better for it.
+	laterTime = rushTime + lagTime
 	// apartTime is for how long no leader resigns for lag after that of another
 	// shard has ended its term. The change takes about 0.7 s and the new term is not
 	// judged for settleTime: then it shows whether the change has helped.
@@ -167,10 +170,11 @@
 	cutOff time.Duration
 	// rate is the rate of orders in this term.
 	rate orderRate
-	// rushSince is when a rise of the load began to withhold a resignation, zero
+	// rushSince is when a rise of the load began to withhold a resignation, and
+	// laterSince when the leader of another shard did that is later. Both are zero
 	// once the leader is not late any more.
-	rushSince time.Time
-	last      map[resignCause]lastResignation
+	rushSince, laterSince time.Time
+	last                  map[resignCause]lastResignation
 }
 
 // orderRate is how many orders a leader carries out.
@@ -226,7 +230,7 @@
 		j.behind = max(0, j.behind-gap)
 	}
 	if j.behind == 0 {
-		j.rushSince = time.Time{}
+		j.rushSince, j.laterSince = time.Time{}, time.Time{}
 	}
 	if sample.lost >= minLostLinks && lostShare*sample.lost >= sample.links {
 		j.cutOff = min(lagTime, j.cutOff+gap)
@@ -287,10 +291,15 @@
 	case sample.renewal > maxRenewalDelay:
 		return ""
 	}
-	switch {
-	case sample.otherDelay > maxDelay && sample.otherDelay >= sample.delay():
-		return withheldLater
-	case !sample.otherEndedAt.IsZero() && sample.at.Sub(sample.otherEndedAt) < apartTime:
+	if sample.otherDelay > maxDelay && sample.otherDelay >= sample.delay() {
+		if j.laterSince.IsZero() {
+			j.laterSince = sample.at
+		}
+		if sample.at.Sub(j.laterSince) < laterTime {
+			return withheldLater
+		}
+	}
+	if !sample.otherEndedAt.IsZero() && sample.at.Sub(sample.otherEndedAt) < apartTime {
 		return withheldApart
 	}
 	return ""
--- a/internal/process/leader/lagrush_test.go
+++ b/internal/process/leader/lagrush_test.go
@@ -64,6 +64,13 @@
 			},
 			withheld: withheldLater,
 		},
+		"slow, and another shard's leader stays later as no host is better for it": {
+			change: func(sample *lagSample, _ *knownHost) {
+				sample.loop = maxDelay
+				sample.otherDelay = 2 * sample.delay()
+			},
+			during: laterTime + 2*lagTime,
+		},
 		"slow, and another shard's leader is less late": {
 			change: func(sample *lagSample, _ *knownHost) {
 				sample.loop = maxDelay
