Play transfers beside a store that drops its history

Adds to the tests of transfers and returns: the store drops its history, so that watches become listings of two items a page, alone and with a resignation; and a resignation after a cancellation.

--- a/internal/process/leader/transfers_test.go
+++ b/internal/process/leader/transfers_test.go
@@ -278,10 +278,28 @@
 		s.startHost(s.t.Context(), "olinda-1")
 		return false
 	},
+	"store drops its history": func(s *transferSite, _ *Group, _ func()) bool {
+		s.store.SetPageSize(2)
+		s.store.Compact()
+		return false
+	},
+	"store drops its history, host resigns": func(s *transferSite, first *Group, _ func()) bool {
+		s.store.SetPageSize(2)
+		s.store.Compact()
+		s.startHost(s.t.Context(), "olinda-1")
+		first.Resign(s.t.Context())
+		return false
+	},
 	"job is cancelled": func(s *transferSite, _ *Group, _ func()) bool {
 		s.cancelWhereItIs(s.task.Job)
 		return true
 	},
+	"job is cancelled, host resigns": func(s *transferSite, first *Group, _ func()) bool {
+		s.cancelWhereItIs(s.task.Job)
+		s.startHost(s.t.Context(), "olinda-1")
+		first.Resign(s.t.Context())
+		return true
+	},
 	"job is cancelled, host is killed": func(s *transferSite, _ *Group, stop func()) bool {
 		s.cancelWhereItIs(s.task.Job)
 		stop()
