Give the writer one transfer at a time

Callers would see ends of jobs late: a round of up to 16 transfers queued as many commits before them, each some 10 to 25 ms. Found by the review by reading. TestTransfersLeaveRoomForOtherCommits: 7 commits wait with all of a round in the writer, bound 1.

--- a/internal/process/leader/transfers.go
+++ b/internal/process/leader/transfers.go
@@ -27,6 +27,10 @@
 	revisions map[string]map[string]int64
 	// removed holds the keys that were deleted.
 	removed removedJobs
+	// waiting holds the commits that are not sent yet, and writing is set while one is
+	// with the term's writer.
+	waiting []*transferCommit
+	writing bool
 	// unsettled holds the commits that got no answer, returned the tasks that are to be
 	// taken back, by key, and orphans the locations of tasks without a job.
 	unsettled []*transferCommit
@@ -166,15 +170,29 @@
 	done func(effect bool, err error, now time.Time)
 }
 
+// write queues a commit. The term's writer has one of them at a time: ends of jobs and
+// placements would wait behind all commits of a round.
 func (t *transfers) write(commit *transferCommit) {
+	t.waiting = append(t.waiting, commit)
+	t.writeNext()
+}
+
+func (t *transfers) writeNext() {
+	if t.writing || len(t.waiting) == 0 {
+		return
+	}
+	commit := t.waiting[0]
+	t.writing, t.waiting = true, t.waiting[1:]
 	t.term.writer.add(&pendingCommit{
 		commit: commit.commit,
 		done: func(err error, now time.Time) {
+			t.writing = false
 			if errors.Is(err, store.ErrUnknown) {
 				t.unsettled = append(t.unsettled, commit)
-				return
+			} else {
+				commit.done(err == nil, err, now)
 			}
-			commit.done(err == nil, err, now)
+			t.writeNext()
 		},
 	})
 }
--- a/internal/process/leader/transfers_test.go
+++ b/internal/process/leader/transfers_test.go
@@ -424,3 +424,22 @@
 	s.requireTransferred()
 	assert.Empty(t, s.running.faults)
 }
+
+// A round of transfers must not delay the ends of jobs and the placements that starts
+// wait for: the term's writer has one commit of them at a time.
+func TestTransfersLeaveRoomForOtherCommits(t *testing.T) {
+	s := newTransferSite(t)
+	group := s.startHost(t.Context(), "recife-1")
+	require.Eventually(t, func() bool { return leads(group) == 2 }, waitTimeout, 5*time.Millisecond)
+	waiting := make(chan int, 1)
+	group.leaders[0].post(func(time.Time) {
+		term := group.leaders[0].term
+		for range 8 {
+			term.transfers.write(&transferCommit{
+				done: func(bool, error, time.Time) {},
+			})
+		}
+		waiting <- len(term.writer.waiting)
+	})
+	assert.LessOrEqual(t, <-waiting, 1)
+}
