Run the long simulations of the schedule beside each other

TestEveryWaitHasAReason/preemptions failed in the same run. Since capacity is kept for a long-running task that is down, one decision may begin to keep it, which leaves an urgent task without the worker that it had, and reserve capacity for that one by preemption: w1 with 2,000 of 4,000 millicores free is kept for a task of 4,000, and the urgent task of 1,000 gets w0. The check knew only that such a task finds the capacity reserved for others. It allows the task's own reservation now if this decision has begun one for another task, and only then.

--- a/internal/process/schedule/crashes_test.go
+++ b/internal/process/schedule/crashes_test.go
@@ -470,6 +470,7 @@
 // However many tasks run beside it and whoever leads, a task that crashes its
 // workers is started a bounded number of times.
 func TestStartsOfDeadlyTasksAreBounded(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		fleet := newCrashFleet(4)
 		deadly := map[work.TaskKey]bool{}
--- a/internal/process/schedule/down_simulation_test.go
+++ b/internal/process/schedule/down_simulation_test.go
@@ -210,6 +210,7 @@
 // comes free, while runs fail, workers are lost and starts are refused. On the users'
 // bench they were down for 10 to 18 s.
 func TestNoLongRunningTaskStaysDownBesideQuickOnes(t *testing.T) {
+	t.Parallel()
 	const seeds = uint64(2)
 	tests := map[string]struct {
 		share          float64
@@ -246,6 +247,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(tests)) {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			tt := tests[name]
 			restarts, started, besideRoom, besideQuick := 0, 0, time.Duration(0), time.Duration(0)
 			for seed := range seeds {
--- a/internal/process/schedule/moves_rush_test.go
+++ b/internal/process/schedule/moves_rush_test.go
@@ -218,6 +218,7 @@
 // that much above it and the third twice that below. Jobs are not divided: the last
 // one may exceed what a shard lacks by half of its size, of at most 0.02.
 func TestLongRunningJobsOfARushAreSpreadEvenly(t *testing.T) {
+	t.Parallel()
 	const largestJob = 0.02
 	const most = 3*0.01 + largestJob/2
 	uneven := 0
--- a/internal/process/schedule/placement_replay_test.go
+++ b/internal/process/schedule/placement_replay_test.go
@@ -81,6 +81,7 @@
 // (delay scheduling) of any length: one that suits short tasks is too short for
 // long ones, and one that suits long tasks makes short ones wait in vain.
 func TestWaitsBeatNoWaitAndFixedWaits(t *testing.T) {
+	t.Parallel()
 	decided := replayOneRack(t, locality.Wait.Worthwhile)
 	baselines := map[string]func(locality.Wait) time.Duration{
 		"no wait":            fixedWait(0),
--- a/internal/process/schedule/quotas_simulation_test.go
+++ b/internal/process/schedule/quotas_simulation_test.go
@@ -148,6 +148,7 @@
 // without an answer, stops under way, lost workers, new leaders while the former
 // one still acts, and changed limits.
 func TestOrganisationStaysWithinLimit(t *testing.T) {
+	t.Parallel()
 	tests := map[string]struct {
 		longRunning, resigns bool
 	}{
--- a/internal/process/schedule/reasons_simulation_test.go
+++ b/internal/process/schedule/reasons_simulation_test.go
@@ -118,11 +118,11 @@
 // decideWithReasons decides, with checks of the reasons before and after the
 // decision and after the answers.
 func (sim *simulation) decideWithReasons() {
-	before := sim.reasonsOf()
+	before, reserved := sim.reasonsOf(), maps.Clone(sim.board.reservations)
 	effects := sim.board.Decide(sim.now, true)
 	sim.requireReasons(true)
 	after := sim.reasonsOf()
-	sim.requireStarts(before, after, len(effects.Starts)+len(sim.board.unrecordedStarts))
+	sim.requireStarts(before, after, reserved, len(effects.Starts)+len(sim.board.unrecordedStarts))
 	capacity := sim.board.heldCapacity()
 	again := sim.board.Decide(sim.now, true)
 	stillHeld := sim.board.heldCapacity()
@@ -148,19 +148,32 @@
 // a reason before it, and still waits. Some reasons begin with a decision: it declines
 // workers for racks, measures the utilization that lets fillers interfere, counts what
 // may be running on workers that have not reported against the limits, and keeps
-// capacity for tasks that go first.
-func (sim *simulation) requireStarts(before, after map[string]Waiting, started int) {
+// capacity for tasks that go first. An urgent task that this leaves without a worker gets
+// capacity of its own by preemption.
+func (sim *simulation) requireStarts(before, after map[string]Waiting, reserved map[work.TaskKey]reservation, started int) {
 	for _, id := range slices.Sorted(maps.Keys(before)) {
 		waits, still := after[id]
 		switch {
 		case before[id].Reason != NoReason || !still:
 		case slices.Contains([]Reason{RackWait, Interference, Quota, ReservedForOthers}, waits.Reason):
+		case waits.Reason == Reserved && sim.keptForOthers(before[id].Task, reserved):
 		default:
 			require.Positive(sim.t, started, "%s could start, and the decision has started nothing; %s", before[id].Task, waits.Reason)
 		}
 	}
 }
 
+// keptForOthers reports whether the decision has begun to keep capacity for another task,
+// given the reservations before it.
+func (sim *simulation) keptForOthers(task work.TaskKey, before map[work.TaskKey]reservation) bool {
+	for key := range sim.board.reservations {
+		if _, known := before[key]; !known && key != task {
+			return true
+		}
+	}
+	return false
+}
+
 // heldCapacity returns the claims and the reservations.
 func (b *Board) heldCapacity() map[string]bool {
 	out := map[string]bool{}
@@ -235,6 +248,7 @@
 
 // The same with organisations whose limits change.
 func TestEveryWaitOfAnOrganisationHasAReason(t *testing.T) {
+	t.Parallel()
 	seen := Reasons{}
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newQuotaSimulation(t)
@@ -245,6 +259,7 @@
 
 // The same with preferred racks.
 func TestEveryWaitForARackHasAReason(t *testing.T) {
+	t.Parallel()
 	seen := Reasons{}
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
--- a/internal/process/schedule/room_test.go
+++ b/internal/process/schedule/room_test.go
@@ -59,6 +59,7 @@
 // equal the claims, each claim has a next event, and once the faults end nothing
 // waits that has room.
 func TestNothingWaitsBesideFreeCapacity(t *testing.T) {
+	t.Parallel()
 	preemptions, handovers := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newAsyncSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.Uint64().Draw(t, "stream"))
--- a/internal/process/schedule/shards_test.go
+++ b/internal/process/schedule/shards_test.go
@@ -161,6 +161,7 @@
 // to no leader or to several, while jobs move and leaders and workers come and go.
 // The checks are those of the simulation at any time.
 func TestTaskOfSeveralShardsRunsOnce(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		plan := shardsPlanOf(rapid.IntRange(2, 4).Draw(t, "shards"))
 		plan.workersPerShard, plan.length, plan.replaced = 5, 10*time.Second, 3
--- a/internal/process/schedule/urgent_replay_test.go
+++ b/internal/process/schedule/urgent_replay_test.go
@@ -12,6 +12,7 @@
 // load is that of 350 workers, scaled to 64. The bounds are the targets of
 // docs/design/contention.md.
 func TestQuickJobsAreServedBesideLongRunningOnes(t *testing.T) {
+	t.Parallel()
 	const rate = 14.3 * 64 / 350
 	tests := map[string]struct {
 		share          float64
@@ -36,6 +37,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			r := newReplay(t, 64, 1)
 			r.run(2*time.Second, rate)
 			r.addLongRunning(tt.share, tt.maxUnavailable)
