--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -14,6 +14,7 @@
 type reviewCase func(s *site, trouble bool) (broken bool, err error)
 
 var cases = map[string]reviewCase{
+	"advice-burst":    adviceBurst,
 	"copied-entry":    copiedEntry,
 	"late-copy":       lateCopy,
 	"late-submission": lateSubmission,
--- a/review/cases-2/removedadvice.go
+++ b/review/cases-2/removedadvice.go
@@ -18,7 +18,11 @@
 		name:     "cutplan",
 		attempts: 2,
 	}
-	if err := s.serveAdvice(); err != nil {
+	if err := s.serveAdvice(adviceTerms{
+		decide: 50 * time.Millisecond,
+		each:   5 * time.Millisecond,
+		valid:  3 * time.Second,
+	}); err != nil {
 		return false, err
 	}
 	if err := s.open(4, 3, q, kept); err != nil {
--- a/review/cases-2/site.go
+++ b/review/cases-2/site.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -45,7 +46,9 @@
 	done    chan struct{}
 	hosts   []*host
 	runners []*runner
-	advice  string
+	// advice is the address of the service that issues tickets, terms what it takes.
+	advice string
+	terms  adviceTerms
 
 	mu sync.Mutex
 	// starts holds what the runners have begun, in order.
@@ -164,7 +167,9 @@
 			"service": service, "max_attempts": q.attempts, "stretch": 2.0,
 		}
 		if q.advice {
-			route["advice"] = map[string]any{"decide_ms": 50, "each_ms": 5, "valid_ms": 3000}
+			route["advice"] = map[string]any{
+				"decide_ms": s.terms.decide.Milliseconds(), "each_ms": s.terms.each.Milliseconds(), "valid_ms": s.terms.valid.Milliseconds(),
+			}
 		}
 		routes = append(routes, route)
 		names = append(names, q.name)
@@ -564,15 +569,27 @@
 	return fmt.Sprintf("%016x", rand.Uint64())
 }
 
-// serveAdvice starts the service that issues tickets; it grants every runner.
-func (s *site) serveAdvice() error {
+// adviceTerms are those of a queue with advice: how long the service takes for a
+// call and for each runner named in it, and how long a ticket is valid.
+type adviceTerms struct {
+	decide, each, valid time.Duration
+}
+
+// serveAdvice starts the service that issues tickets; it grants every runner. It
+// handles one call at a time for each calling machine, in turn, and refuses calls
+// while 32 wait.
+func (s *site) serveAdvice(terms adviceTerms) error {
 	listener, err := net.Listen("tcp", s.ip(240)+":0")
 	if err != nil {
 		return err
 	}
-	s.advice = listener.Addr().String()
+	s.advice, s.terms = listener.Addr().String(), terms
+	turns := &adviceTurns{
+		machines: map[string]*adviceTurn{},
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /advise", func(w http.ResponseWriter, r *http.Request) {
+		arrived := time.Now()
 		var body struct {
 			Step    string   `json:"step"`
 			Workers []string `json:"workers"`
@@ -581,7 +598,17 @@
 			answer(w, http.StatusBadRequest, map[string]any{})
 			return
 		}
-		time.Sleep(50*time.Millisecond + time.Duration(len(body.Workers))*5*time.Millisecond)
+		machine, _, _ := net.SplitHostPort(r.RemoteAddr)
+		turn := turns.of(machine)
+		if turn.waiting.Add(1) > 32 {
+			turn.waiting.Add(-1)
+			answer(w, http.StatusTooManyRequests, map[string]any{})
+			return
+		}
+		turn.mu.Lock()
+		defer turn.mu.Unlock()
+		defer turn.waiting.Add(-1)
+		time.Sleep(terms.decide + time.Duration(len(body.Workers))*terms.each)
 		granted := [][]string{}
 		s.mu.Lock()
 		for _, id := range body.Workers {
@@ -589,18 +616,38 @@
 			s.tickets[text] = ticket{
 				step:   body.Step,
 				runner: id,
-				until:  time.Now().Add(3 * time.Second),
+				until:  time.Now().Add(terms.valid),
 			}
 			granted = append(granted, []string{id, text})
 		}
 		s.mu.Unlock()
-		s.record.note("advice: %s may run on %v", body.Step, body.Workers)
-		answer(w, http.StatusOK, map[string]any{"granted": granted, "valid_ms": 3000})
+		s.record.note("advice: %s may run on %v; answered %.3f s after the call came", body.Step, body.Workers, time.Since(arrived).Seconds())
+		answer(w, http.StatusOK, map[string]any{"granted": granted, "valid_ms": terms.valid.Milliseconds()})
 	})
 	go func() { _ = (&http.Server{Handler: mux}).Serve(listener) }()
 	return nil
 }
 
+// adviceTurns holds the calls of each machine to the advice service.
+type adviceTurns struct {
+	mu       sync.Mutex
+	machines map[string]*adviceTurn
+}
+
+type adviceTurn struct {
+	mu      sync.Mutex
+	waiting atomic.Int64
+}
+
+func (t *adviceTurns) of(machine string) *adviceTurn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.machines[machine] == nil {
+		t.machines[machine] = &adviceTurn{}
+	}
+	return t.machines[machine]
+}
+
 // ticketValid reports whether a start carries the ticket that its step needs.
 func (s *site) ticketValid(r *runner, order runnerOrder) bool {
 	s.mu.Lock()
