--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]reviewCase{
 	"advice-burst":    adviceBurst,
 	"copied-entry":    copiedEntry,
+	"forgotten-job":   forgottenJob,
 	"late-copy":       lateCopy,
 	"late-submission": lateSubmission,
 	"removed-queue":   removedQueue,
--- a/review/cases-2/site.go
+++ b/review/cases-2/site.go
@@ -48,7 +48,9 @@
 	runners []*runner
 	// advice is the address of the service that issues tickets, terms what it takes.
 	advice string
-	terms  adviceTerms
+	// statusSeconds is status_s of the settings.
+	statusSeconds int
+	terms         adviceTerms
 
 	mu sync.Mutex
 	// starts holds what the runners have begun, in order.
@@ -91,9 +93,12 @@
 		return nil, err
 	}
 	s := &site{
-		record:   r,
-		folder:   folder,
-		done:     make(chan struct{}),
+		record: r,
+		folder: folder,
+		done:   make(chan struct{}),
+
+		statusSeconds: 120,
+
 		outcomes: map[string]outcome{},
 		sizes:    map[string]int64{},
 		tickets:  map[string]ticket{},
@@ -303,7 +308,7 @@
 visible_ms = 3000
 early_ms = 250
 finish_s = 14
-status_s = 120
+status_s = %d
 remote_factor = 2
 checkpoint_interval_s = 1
 restore_ms = 600
@@ -328,7 +333,7 @@
 rate_per_s = 60.0
 duties = []
 duty_per_s = 60.0
-`, h.name, h.ip, ports[2], ports[3], advice, h.front, h.ip, ports[1], storeAddress, s.ip(251))
+`, h.name, h.ip, ports[2], ports[3], advice, h.front, h.ip, ports[1], s.statusSeconds, storeAddress, s.ip(251))
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
--- a/review/cases-2/store.go
+++ b/review/cases-2/store.go
@@ -66,6 +66,12 @@
 	// delay, if set, says how long a conditional write is held back: it gets no
 	// answer and is carried out later, if its condition still holds then.
 	delay func(write *txn) time.Duration
+	// refuse, if set, says which conditional writes are refused with 503.
+	refuse func(write *txn) bool
+	// muted is set while watches hear nothing, compacted is the newest revision of
+	// the history that is gone.
+	muted     bool
+	compacted int64
 	// silent is set while no call is answered and nothing is done.
 	silent bool
 	closed chan struct{}
@@ -213,6 +219,22 @@
 	s.wake()
 }
 
+// compact drops the history: watches hear nothing for a second, while changes are
+// made, and are then cut.
+func (s *store) compact(change func()) {
+	s.mu.Lock()
+	s.muted = true
+	s.mu.Unlock()
+	time.Sleep(500 * time.Millisecond)
+	change()
+	time.Sleep(500 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted, s.compacted = false, s.revision
+	s.wake()
+	s.record.note("store: the history up to revision %d is dropped", s.compacted)
+}
+
 // find returns the item of the first key with the suffix.
 func (s *store) find(suffix string) (item, bool) {
 	s.mu.Lock()
@@ -276,14 +298,22 @@
 	defer deadline.Stop()
 	for {
 		s.mu.Lock()
+		if after < s.compacted {
+			s.mu.Unlock()
+			answer(w, http.StatusGone, map[string]any{})
+			return
+		}
 		events := []item{}
 		first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
 		for _, event := range s.history[first:] {
-			if strings.HasPrefix(event.Key, prefix) {
+			if strings.HasPrefix(event.Key, prefix) && !s.muted {
 				events = append(events, event)
 			}
 		}
 		revision, changed := s.revision, s.changed
+		if s.muted {
+			revision = after
+		}
 		s.mu.Unlock()
 		if len(events) > 0 {
 			answer(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
@@ -308,6 +338,12 @@
 	}
 	s.mu.Lock()
 	s.writes++
+	if s.refuse != nil && s.refuse(&write) {
+		s.mu.Unlock()
+		s.record.note("store: a write that deletes %v is refused with 503", write.DeleteKeys)
+		answer(w, http.StatusServiceUnavailable, map[string]any{})
+		return
+	}
 	delay := time.Duration(0)
 	if s.delay != nil {
 		delay = s.delay(&write)
