Handle signals from the first statement of a host to its last

Cause: SIGHUP was caught only after the fleet key and the layout had been read and the host had joined, and those wait as long as the store is away.

Signals are caught by the first statement of the command and stay caught until the process has ended. `serve` ignores SIGHUP.

Ruled out: SIGHUP while serving and while draining, which was caught before.

--- a/internal/process/command/command_test.go
+++ b/internal/process/command/command_test.go
@@ -88,3 +88,23 @@
 		assert.Equal(t, 0, status, text)
 	}
 }
+
+// Guards against a host that SIGHUP ends (review case 10), and against a short
+// command that goes on after its terminal is closed.
+func TestOnlyHostsRunOnAfterHangup(t *testing.T) {
+	tests := map[string]struct {
+		arguments []string
+		want      bool
+	}{
+		"entry host":         {arguments: []string{"serve", "-config", "host.ini"}, want: true},
+		"host on a platform": {arguments: []string{"platform"}, want: true},
+		"shards":             {arguments: []string{"platform", "shards"}},
+		"job command":        {arguments: []string{"job", "get", "platform"}},
+		"no command":         {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.want, runsHost(test.arguments))
+		})
+	}
+}
--- a/internal/process/command/platform.go
+++ b/internal/process/command/platform.go
@@ -40,7 +40,7 @@
 			go sink.Run(logging)
 			defer sink.Flush()
 			klog.SetLogger(textlogger.NewLogger(textlogger.NewConfig(textlogger.Output(sink))))
-			if err := platform.Serve(ctx); err != nil {
+			if err := platform.Serve(ctx, s.hangups); err != nil {
 				return refusedError("%w", err)
 			}
 			return nil
--- a/internal/process/command/root.go
+++ b/internal/process/command/root.go
@@ -8,7 +8,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -29,19 +31,29 @@
 	return fmt.Errorf("%w: "+format, append([]any{errUsage}, args...)...)
 }
 
-// session holds the output streams of one run of the program.
+// session holds what one run of the program gets from outside.
 type session struct {
 	out, err io.Writer
+	// hangups receives each SIGHUP that does not end the program.
+	hangups chan os.Signal
 }
 
 // Run runs the command given by the arguments and returns the exit status.
 func Run(arguments []string, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	// The signals stay caught until the process has ended, so that a further one
+	// does not change its exit status.
 	current := &session{
-		out: out,
-		err: errOut,
+		out:     out,
+		err:     errOut,
+		hangups: make(chan os.Signal, 1),
 	}
+	ending := []os.Signal{syscall.SIGTERM, syscall.SIGINT}
+	if runsHost(arguments) {
+		signal.Notify(current.hangups, syscall.SIGHUP)
+	} else {
+		ending = append(ending, syscall.SIGHUP)
+	}
+	ctx, _ := signal.NotifyContext(context.Background(), ending...)
 	root := current.root()
 	err := root.Parse(arguments)
 	if err == nil {
@@ -50,6 +62,13 @@
 	return current.finish(err)
 }
 
+// runsHost reports whether the arguments ask for a command that goes on after its
+// terminal is closed.
+func runsHost(arguments []string) bool {
+	return len(arguments) > 0 && arguments[0] == "serve" ||
+		len(arguments) > 0 && arguments[0] == "platform" && !slices.Contains(arguments, "shards")
+}
+
 func (s *session) root() *ffcli.Command {
 	flags := s.flags("mustardreach")
 	return &ffcli.Command{
