Raise a worker's fencing token with its restarts

Cause: a copy was barred by a stop of its run, sent only while a claim counted unanswered copies; the claim ends with the run.

Each worker has a token of its own. A report of another incarnation is used only if its poll had a higher token than every start that was sent before, so that one accepted call bars all copies, whatever has become of their claims. Tokens are revisions of the leader's own guarded commits: above those of all earlier leaders, below those of all later ones, so that a rolled back release is not locked out. No write is added where the leader has committed since its last start to the worker.

Ruled out: a stop kept by worker for each unanswered copy (not bounded, lost with the leader).

--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -57,10 +57,11 @@
 	}
 	c.term, c.target, c.validUntil, c.queuedAt = t, workerLink.target, t.actUntil, now
 	c.lease = Lease{
-		Token: t.token,
+		Token: t.tokenOf(worker),
 	}
 	if c.start != nil {
 		c.lease = t.leaseFor(workerLink, now) // no other order requests a lease
+		t.fences.startSent(worker, c.lease.Token)
 	}
 	t.waiting = append(t.waiting, c)
 	t.dispatch(now)
@@ -124,8 +125,8 @@
 		t.leader.lag.orderCarried()
 	}
 	t.dispatch(now)
-	if verdict == schedule.Fenced && c.lease.Token != t.token {
-		verdict = schedule.TooLate // the order carried an earlier token of this term
+	if verdict == schedule.Fenced && c.lease.Token < t.tokenOf(c.target.ID) {
+		verdict = schedule.TooLate // the order carried an earlier token of this leader
 	}
 	board := t.leader.board
 	t.leader.config.Counts.Add(c.kind()+"_"+verdict.String(), 1)
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -24,6 +24,12 @@
 	withoutAck bool
 	// lost is set while the worker does not answer.
 	lost bool
+	// incarnation is when the one began whose report was used last, zero before the
+	// first report.
+	incarnation time.Time
+	// restarted is set while another incarnation answers whose reports cannot be used
+	// yet: copies of earlier starts could still arrive there.
+	restarted bool
 	// clock is the worker's steady clock at the time clockAt; zero if unknown.
 	clock   time.Duration
 	clockAt time.Time
@@ -77,6 +83,13 @@
 		if workerLink.busy || now.Before(workerLink.due) || !t.roster.contains(workerLink.target) {
 			continue
 		}
+		if workerLink.lost || workerLink.restarted {
+			t.raiseToken(id, now)
+		}
+		token := t.tokenOf(id)
+		if workerLink.restarted && !t.fences.barsEarlier(id, token) {
+			continue
+		}
 		lastSeen, _ := t.leader.board.LastSeen(id)
 		wait := pollWait
 		if t.leader.board.NeedsFrequentPolls(id) {
@@ -86,7 +99,7 @@
 			lastSeen, wait = 0, 0
 		}
 		lease := Lease{
-			Token: t.token,
+			Token: token,
 		}
 		if !workerLink.lost {
 			lease = t.leaseFor(workerLink, now)
@@ -108,7 +121,7 @@
 // its runs end in bounded time.
 func (t *term) leaseFor(workerLink *link, now time.Time) Lease {
 	lease := Lease{
-		Token: t.token,
+		Token: t.tokenOf(workerLink.target.ID),
 	}
 	if workerLink.clock > 0 && now.Before(t.actUntil) && t.leader.board.MayRequestLease(workerLink.target.ID) {
 		lease.Until = workerLink.clock + now.Sub(workerLink.clockAt) + t.leader.config.Board.LeaseTerm
@@ -150,7 +163,7 @@
 		return // the link was closed or replaced meanwhile
 	}
 	board := k.term.leader.board
-	if errors.Is(err, ErrFenced) && poll.Token == k.term.token {
+	if errors.Is(err, ErrFenced) && poll.Token >= k.term.tokenOf(k.target.ID) {
 		k.term.leader.stepDown("fenced by a worker")
 		return
 	}
@@ -169,9 +182,14 @@
 		}
 		return
 	}
-	if poll.Token != k.term.token {
+	if poll.Token < k.term.token {
 		return // sent under an earlier token of this term; the next poll raises it
 	}
+	if !k.admit(poll, inventory.Born) {
+		k.withoutAck, k.due = true, now
+		board.MarkUnreachable(k.target.ID, now)
+		return
+	}
 	if k.lost {
 		klog.InfoS("worker regained", "worker", k.target.ID, "born", inventory.Born)
 	}
@@ -192,3 +210,17 @@
 	}
 	k.due = now.Add(gap)
 }
+
+// admit reports whether a report can be used: it is from the same incarnation as the
+// one before, or from one that refuses the copies of all earlier starts.
+func (k *link) admit(poll Poll, born time.Time) bool {
+	if !k.incarnation.Equal(born) && !k.term.fences.barsEarlier(k.target.ID, poll.Token) {
+		if !k.restarted {
+			klog.InfoS("worker restarted, raising its token", "worker", k.target.ID, "born", born, "token", poll.Token)
+		}
+		k.restarted = true
+		return false
+	}
+	k.incarnation, k.restarted = born, false
+	return true
+}
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -80,6 +80,7 @@
 	w.busy = false
 	if err == nil {
 		w.sequence = revision
+		w.term.fences.committed(revision)
 	}
 	w.term.checkConflict(pending.token, err, now)
 	if w.term.leader.term != w.term {
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -68,6 +68,7 @@
 	moves         moves
 	transfers     transfers
 	quotas        quotas
+	fences        fences
 	removed       removedJobs
 	owners        owners
 }
