Believe a replacement of a worker once its successor has answered

Cause: isReplaced took any younger listed entry with the address of a worker that does not answer for its successor, and its claims were released before their lease had ended.

A worker is replaced once a younger process has answered at its address under its own id, later than the worker itself. Crashes are counted by the same proof. One function decides which entries name a worker to use: decodable ones whose service a configuration or a job has named. The others are not polled, and an overwritten entry does not mean that its worker has left.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -81,10 +81,11 @@
 
 // SetCatalog puts a configuration version in force.
 func (l *Leader) SetCatalog(newest *catalog.Catalog) {
-	l.post(func(time.Time) {
+	l.post(func(now time.Time) {
 		l.catalog = newest
 		if l.board != nil {
 			l.board.SetCatalog(newest)
+			l.term.updateLinks(now) // entries of a new service can be used from here on
 		}
 	})
 }
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -40,7 +41,9 @@
 func (t *term) updateLinks(now time.Time) {
 	board := t.leader.board
 	listReliable := now.Sub(t.listFailedAt) > t.leader.config.Board.ListGrace
-	board.SetWorkers(t.listings, listReliable, now)
+	usable, unusable := t.usableListings()
+	board.SetUnusable(unusable)
+	board.SetWorkers(usable, listReliable, now)
 	current := map[string]bool{}
 	for _, listing := range board.Roster() {
 		current[listing.ID] = true
@@ -61,6 +64,24 @@
 	}
 }
 
+// usableListings returns the entries of the list that name workers to use, and the ids of
+// the others: those that cannot be decoded, or whose service nobody has named. Nothing
+// else decides on entries.
+func (t *term) usableListings() (usable map[string]schedule.Listing, unusable map[string]bool) {
+	usable, unusable = make(map[string]schedule.Listing, len(t.listings)), maps.Clone(t.undecodable)
+	for id, listing := range t.listings {
+		if t.leader.board.KnowsService(listing.Service) {
+			usable[id] = listing
+			continue
+		}
+		if unusable == nil {
+			unusable = map[string]bool{}
+		}
+		unusable[id] = true
+	}
+	return usable, unusable
+}
+
 func (t *term) openLink(listing schedule.Listing) *link {
 	workerLink := &link{
 		term: t,
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -33,7 +33,10 @@
 	// renewalFailed is set if the last renewal was not answered.
 	renewalFailed bool
 
-	listings map[string]schedule.Listing
+	// listings are the decoded entries of the list of workers, and undecodable the
+	// workers whose entries cannot be decoded.
+	listings    map[string]schedule.Listing
+	undecodable map[string]bool
 	// listReadAt is when the list of workers was last read, listFailedAt when
 	// reading it last failed.
 	listReadAt, listFailedAt time.Time
@@ -91,6 +94,7 @@
 		actUntil:     result.sent.Add(ActTerm),
 		renewedAt:    now,
 		listings:     map[string]schedule.Listing{},
+		undecodable:  map[string]bool{},
 		listFailedAt: now,
 		links:        map[string]*link{},
 		removed:      removedJobs{},
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -87,6 +87,10 @@
 	cancelled map[string]bool
 	// evacuated holds the withdrawn zones, which get no new tasks.
 	evacuated map[string]bool
+	// services holds each service that a configuration or a job has named.
+	services map[string]bool
+	// unusable holds the workers whose entries cannot be used.
+	unusable map[string]bool
 
 	// startsLeft is how many more starts may be decided now.
 	startsLeft int
@@ -142,6 +146,7 @@
 		utilization:    map[string]*utilization{},
 		cancelled:      map[string]bool{},
 		evacuated:      map[string]bool{},
+		services:       map[string]bool{},
 		reservations:   map[work.TaskKey]reservation{},
 		urgentCapacity: newUrgentCapacity(),
 		estimates:      newEstimates(),
@@ -224,6 +229,12 @@
 // SetCatalog puts a version of the configuration into force.
 func (b *Board) SetCatalog(newest *catalog.Catalog) {
 	b.catalog = newest
+	for name := range newest.Services {
+		b.services[name] = true
+	}
+	for name := range newest.Queues {
+		b.services[newest.Queues[name].Service] = true
+	}
 	b.quotas.SetOrganisations(newest.Version, newest.Organisations)
 }
 
--- a/internal/process/schedule/board_test.go
+++ b/internal/process/schedule/board_test.go
@@ -158,9 +158,14 @@
 // runs nothing. Its long-running tasks must not wait for its lease to expire.
 func TestWorkerThatHasLeftIsFreedAtOnce(t *testing.T) {
 	tests := map[string]struct {
-		draining, closed bool
-		want             int
+		draining, closed, unusable bool
+		want                       int
 	}{
+		"entry overwritten by somebody": {
+			draining: true,
+			closed:   true,
+			unusable: true,
+		},
 		"left": {
 			draining: true,
 			closed:   true,
@@ -190,6 +195,7 @@
 			if tt.closed {
 				board.Closed(leaver)
 			}
+			board.SetUnusable(map[string]bool{leaver: tt.unusable})
 			board.SetWorkers(map[string]Listing{stays: board.workers[stays].Listing}, true, now)
 			board.Confirmed(now)
 			assert.Len(t, board.Decide(now, true).Starts, tt.want)
--- a/internal/process/schedule/crashes.go
+++ b/internal/process/schedule/crashes.go
@@ -127,7 +127,7 @@
 	}
 	lost := &lostWorker{
 		id:          w.ID,
-		address:     w.Address,
+		address:     w.usedAddress(),
 		incarnation: w.incarnation,
 		since:       now,
 		suspects:    suspects,
@@ -148,7 +148,7 @@
 
 func (b *Board) resolveReplaced(lost *lostWorker, now time.Time) {
 	for _, w := range b.workers {
-		if w.listed && w.ID != lost.id && w.Address == lost.address && w.Born.After(lost.incarnation) {
+		if w.tookOver(lost.id, lost.address, lost.incarnation) {
 			delete(b.lost, lost.id)
 			b.countCrash(lost.id, lost.suspects, now)
 			return
--- a/internal/process/schedule/drain.go
+++ b/internal/process/schedule/drain.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"net/netip"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/request/work"
@@ -59,17 +60,44 @@
 	}
 }
 
-// isReplaced reports whether a younger worker is listed at the address of one that
+// isReplaced reports whether a younger worker has answered at the address of one that
 // does not answer: its process has ended, and its runs with it. An order that is on its
-// way names the worker, and the younger one refuses it.
-func (w *workerState) isReplaced(listings map[string]Listing) bool {
+// way names the worker, and the younger one refuses it. An entry with that address
+// proves nothing, as anybody may have written it.
+func (b *Board) isReplaced(w *workerState) bool {
 	if w.reachable || w.Born.IsZero() {
 		return false
 	}
-	for _, other := range listings {
-		if other.Address == w.Address && other.Born.After(latestOf(w.Born, w.incarnation)) {
+	for _, other := range b.workers {
+		if other.tookOver(w.ID, w.usedAddress(), latestOf(w.Born, w.incarnation)) && other.lastReport.After(w.lastReport) {
 			return true
 		}
 	}
 	return false
 }
+
+// tookOver reports whether this worker has answered at the address of another one and
+// began later than that.
+func (w *workerState) tookOver(id string, address netip.AddrPort, incarnation time.Time) bool {
+	return w.ID != id && w.answeredAt == address && w.incarnation.After(incarnation)
+}
+
+// usedAddress is where the worker last answered, or where an earlier leader has used it.
+func (w *workerState) usedAddress() netip.AddrPort {
+	if w.answeredAt.IsValid() {
+		return w.answeredAt
+	}
+	return w.Address
+}
+
+// removeReplaced removes the workers that are no longer listed and have been replaced.
+func (b *Board) removeReplaced(now time.Time) {
+	var gone []*workerState
+	for _, w := range b.workers {
+		if !w.listed && b.isReplaced(w) {
+			gone = append(gone, w)
+		}
+	}
+	b.remove(gone, now)
+	b.resolveLost(now)
+}
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -55,6 +55,7 @@
 		return nil // a delayed answer of an earlier incarnation
 	}
 	b.resolveReport(id, inventory.Born, now)
+	first := w.answeredAt != w.Address || !inventory.Born.Equal(w.incarnation)
 	switch {
 	case w.incarnation.IsZero():
 		w.incarnation, w.firstReport = inventory.Born, now
@@ -68,7 +69,10 @@
 		w.leaseEnd = now.Add(b.longestLease())
 	}
 	w.reportedToken, w.lastReport, w.reachable, w.closed = b.token, now, true, false
-	w.lost = false
+	w.lost, w.answeredAt = false, w.Address
+	if first {
+		b.removeReplaced(now)
+	}
 	if !inventory.EndsOmitted {
 		w.settledToken = b.token
 	}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -190,6 +190,7 @@
 	}
 	const maxAge = time.Minute // limits the effect of a jump of the wall clock
 	age := min(max(0, timeOfDay.Sub(spec.Accepted)), maxAge)
+	b.services[spec.Service] = true
 	j := b.newJob(spec, inherited, now.Add(-age), now, timeOfDay)
 	j.ageBounded = age == maxAge
 	if progress != nil {
--- a/internal/process/schedule/replaced_test.go
+++ b/internal/process/schedule/replaced_test.go
@@ -48,8 +48,9 @@
 	}
 }
 
-// Guards against a task that waits for the lease of a worker which is gone: its address
-// has a younger one.
+// Guards against a task that waits for the lease of a worker which is gone, as a younger
+// one answers at its address, and against one that starts elsewhere beside its run, as
+// somebody has only listed an entry with that address (review case 6).
 func TestRunsOfReplacedWorkerAreReleased(t *testing.T) {
 	board := testBoard("w0", "w1")
 	board.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, false, testStart, testStart)
@@ -72,5 +73,16 @@
 	board.SetWorkers(listings, true, now)
 	now = now.Add(simulationStep)
 	board.Confirmed(now)
+	assert.Empty(t, board.Decide(now, true).Starts, "an entry is no proof that it ended")
+	poll(board, "younger", now)
+	assert.Empty(t, board.Decide(now, true).Starts, "an older process answers there")
+	now = now.Add(simulationStep)
+	board.ApplyReport("younger", Inventory{
+		Born:     younger.Born,
+		Sent:     now,
+		Received: now,
+	}, now)
+	now = now.Add(simulationStep)
+	board.Confirmed(now)
 	assert.Len(t, board.Decide(now, true).Starts, 1)
 }
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -39,8 +39,10 @@
 	unlistedSince time.Time
 	// leftList is set while a reliable list is without the worker.
 	leftList bool
-	// incarnation is the Born time of the last answer.
+	// incarnation is the Born time of the last answer, and answeredAt the address that
+	// it came from.
 	incarnation time.Time
+	answeredAt  netip.AddrPort
 	// reportedToken is the token under which it last reported, lastReport when.
 	reportedToken int64
 	lastReport    time.Time
@@ -104,6 +106,18 @@
 	headrooms []remainingHeadroom
 }
 
+// SetUnusable sets the workers whose entries in the discovery list cannot be used. Such
+// an entry says nothing of the worker: neither that it is there nor that it has left.
+func (b *Board) SetUnusable(ids map[string]bool) {
+	b.unusable = ids
+}
+
+// KnowsService reports whether a configuration or a job has named a service. Entries of
+// other services are those of another writer.
+func (b *Board) KnowsService(name string) bool {
+	return b.services[name]
+}
+
 // SetWorkers replaces the discovery list. reliable means that the list is
 // current: a live worker that is missing from it would have been listed again
 // by now.
@@ -134,9 +148,9 @@
 		if w.listed || !reliable {
 			w.listed, w.unlistedSince = false, now
 		}
-		w.leftList = reliable
+		w.leftList = reliable && !b.unusable[id]
 		expired := now.After(w.leaseEnd) && now.Sub(w.unlistedSince) > b.config.ListGrace && !w.reachable
-		if expired || b.hasLeft(w) || w.isReplaced(listings) {
+		if expired || b.hasLeft(w) || b.isReplaced(w) {
 			gone = append(gone, w)
 		}
 	}
