Request tickets one at a time, and use them for their whole term

Cause: eight requests were in flight, which the service answers one after the other, and a ticket's term counted from its request: after 3.9 s in line a ticket of 3 s counted as expired when it came. Found beside it: the term came from the answer only, where PROTOCOL.md has none.

All leaders on a host take turns; each request is made for the step that comes first in the order of the schedule at that moment. A ticket is used until its worker refuses it or its term, from the answer on, is over. A request names the workers that the step needs and those that cost little; a gang asks for all its members at once. Failing steps leave the turn to others. Reason ticket_turn.

--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -107,6 +107,9 @@
 	// Answers reports whether the leader on a host seems to be there, as far as this
 	// host's links to it show. Without it, every leader does.
 	Answers func(host string) bool
+	// advice gives the leaders on this host their turns to request tickets; the Group
+	// sets it.
+	advice *adviceTurns
 	// reports holds the reports of other hosts; the Group sets it.
 	reports *hostReports
 	// Clock is monotonic and includes time during which the machine is
@@ -188,9 +191,6 @@
 	// maxOrders limits the orders that may wait for a call slot when starts are
 	// decided on: enough to keep all slots busy until the next decision.
 	maxOrders = 2 * maxCalls
-	// maxAdviseCalls limits the requests for tickets in flight: the service
-	// serves them one after the other and refuses more than 32.
-	maxAdviseCalls = 8
 	// summaryInterval is how often the state of the schedule is logged.
 	summaryInterval = time.Second
 	// tick is the maximum time between two decisions. followTick replaces it on
--- a/internal/process/leader/group.go
+++ b/internal/process/leader/group.go
@@ -43,6 +43,7 @@
 	}
 	duties := &Duties{}
 	group.config.Leader.reports = newHostReports()
+	group.config.Leader.advice = newAdviceTurns()
 	for number := range config.Layout.Shards {
 		each := group.config.Leader
 		each.Shard, each.Shards = number, config.Layout.Shards
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -181,7 +181,7 @@
 	l.term.pollWorkers(now)
 	l.board.LimitStarts(maxOrders - len(l.term.waiting))
 	allowed := now.Before(l.term.actUntil)
-	l.term.execute(l.board.Decide(now, allowed), now)
+	l.term.decide(now, allowed)
 	l.term.saveUnreachable(now)
 	l.term.saveProgress(now)
 	l.term.savePlacements(now)
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -44,10 +44,8 @@
 	// waiting holds the orders that wait for a call slot.
 	waiting []*call
 
-	// ticketRequests holds those not yet sent; ticketRequestsInFlight counts
-	// those that are sent and unanswered.
-	ticketRequests         []schedule.TicketRequest
-	ticketRequestsInFlight int
+	// requestingTickets is set while a request for tickets is in flight.
+	requestingTickets bool
 
 	// decideDue is when the next decision is due, zero if none is.
 	decideDue time.Time
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -94,6 +94,9 @@
 
 	// startsLeft is how many more starts may be decided now.
 	startsLeft int
+	// ticketRequestsLeft is how many more requests for tickets may be made now, and
+	// ticketRequestsWaiting how many the last decision left for later.
+	ticketRequestsLeft, ticketRequestsWaiting int
 	// startsAllowed is set if the last decision was allowed to start tasks.
 	startsAllowed bool
 	// shortages are those of the last decision that placed tasks, nil once capacity has
@@ -162,6 +165,8 @@
 			removed:  map[string]bool{},
 		},
 		startsLeft: math.MaxInt,
+
+		ticketRequestsLeft: math.MaxInt,
 	}
 }
 
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -13,6 +13,7 @@
 func (b *Board) Decide(now time.Time, allowed bool) Effects {
 	b.now = now
 	b.startsAllowed = allowed
+	b.ticketRequestsWaiting = 0
 	b.Expire(now)
 	if allowed && !b.fenced {
 		b.retryStarts()
--- a/internal/process/schedule/reason.go
+++ b/internal/process/schedule/reason.go
@@ -32,9 +32,11 @@
 	// NoWorker means that no worker of the service may be given tasks.
 	NoWorker
 	// TicketRequested means that the answer to a request for tickets is awaited,
-	// TicketRetry that the next request is delayed, and TicketRefused that every
-	// worker with capacity was refused.
+	// TicketTurn that the request waits for those of other steps, TicketRetry that the
+	// next request is delayed, and TicketRefused that every worker with capacity was
+	// refused.
 	TicketRequested
+	TicketTurn
 	TicketRetry
 	TicketRefused
 	// RackWait means that a free worker was declined for the preferred rack.
@@ -109,6 +111,7 @@
 	QuotaUnknown:      {"quota_unknown", "configuration"},
 	NoWorker:          {"no_worker", "usable_worker"},
 	TicketRequested:   {"ticket_requested", "ticket_answer"},
+	TicketTurn:        {"ticket_turn", "ticket_answer"},
 	TicketRetry:       {"ticket_retry", ""},
 	TicketRefused:     {"ticket_refused", "new_worker"},
 	RackWait:          {"rack_wait", "rack_capacity"},
--- a/internal/process/schedule/stepcause.go
+++ b/internal/process/schedule/stepcause.go
@@ -236,6 +236,8 @@
 		out.reason = nearest(&excluded)
 	case s.now.Before(advice.retryAfter):
 		out.reason, out.until = TicketRetry, advice.retryAfter
+	case !advice.turn.IsZero():
+		out.reason, out.until = TicketTurn, advice.turn
 	default:
 		return cause{} // the next decision requests tickets
 	}
--- a/internal/process/schedule/tickets.go
+++ b/internal/process/schedule/tickets.go
@@ -18,9 +18,13 @@
 	// Timeout is the longest time that the answer takes if no other request is
 	// ahead of it.
 	Timeout time.Duration
+	// Term is how long a ticket is valid if the answer does not say it.
+	Term time.Duration
 }
 
-// ticket admits a step to one incarnation of a worker.
+// ticket admits a step to one incarnation of a worker. It is used until its worker
+// refuses it, or until its time has certainly run out: it was issued before the answer
+// came.
 type ticket struct {
 	text        string
 	incarnation time.Time
@@ -30,39 +34,77 @@
 // advice is the tickets and refusals of one step: which workers may run it.
 type advice struct {
 	tickets map[string]ticket
-	// denied are workers that were requested and not granted; that is final.
-	denied     map[string]bool
-	requesting bool
-	// retryAfter delays the next request after one that failed.
+	// permitted are workers that were granted, and denied those that were requested
+	// and not granted. Both are final; only the tickets expire.
+	permitted, denied map[string]bool
+	requesting        bool
+	// turn is when the step's request is expected to be answered while it waits for
+	// others, zero if it does not.
+	turn time.Time
+	// failures counts the requests since the last answer, and retryAfter delays the
+	// next one.
+	failures   int
 	retryAfter time.Time
 }
 
 const (
 	// maxTicketWorkers is how many workers one request names, as each takes
-	// time.
-	maxTicketWorkers = 30
+	// time, and maxGangTicketWorkers the same for a gang, whose tickets must be
+	// valid at the same time.
+	maxTicketWorkers     = 30
+	maxGangTicketWorkers = 100
+	// ticketRoom is for how many times the waiting tasks of a step a request names
+	// workers, as some are denied.
+	ticketRoom = 2
 	// ticketRetryDelay is the time to the next request for a step after one that
-	// got no answer or no ticket.
-	ticketRetryDelay = 500 * time.Millisecond
-	// ticketMargin is the part of a ticket's term that is left for the start to
-	// arrive.
-	ticketMargin = 200 * time.Millisecond
+	// got no answer or no ticket. It doubles with each failure, maxTicketDoublings
+	// times at most, so that a step for which the service fails leaves it to others.
+	ticketRetryDelay   = 500 * time.Millisecond
+	maxTicketDoublings = 4
+	// unknownTicketTerm is how long a ticket is used whose term nobody says: until its
+	// worker refuses it.
+	unknownTicketTerm = time.Hour
 )
 
+// LimitTicketRequests sets how many requests for tickets the next decision may make. The
+// service handles one call of a host at a time, and the time of a ticket runs while its
+// answer waits behind others: requests are made one by one, each for the step that
+// comes first in the order of the schedule then.
+func (b *Board) LimitTicketRequests(limit int) {
+	b.ticketRequestsLeft = limit
+}
+
+// WaitingTicketRequests is how many steps the last decision left without a request
+// because of the limit.
+func (b *Board) WaitingTicketRequests() int {
+	return b.ticketRequestsWaiting
+}
+
 // admitted returns the workers with a ticket for the step, and requests more
 // tickets when none of them has capacity. Load pattern: an external policy
 // permits only a few workers, and takes its time to say which.
 func (b *Board) admitted(queue catalog.Queue, step *stepState, pool []*workerState, now time.Time) []*workerState {
 	if step.advice == nil {
 		step.advice = &advice{
-			tickets: map[string]ticket{},
-			denied:  map[string]bool{},
+			tickets:   map[string]ticket{},
+			permitted: map[string]bool{},
+			denied:    map[string]bool{},
 		}
 	}
+	step.advice.turn = time.Time{}
 	out, unknown := b.divide(step, pool, now)
-	if len(unknown) > 0 && !step.advice.requesting && !now.Before(step.advice.retryAfter) {
-		b.requestTickets(queue, step, unknown)
+	if len(unknown) == 0 || step.advice.requesting || now.Before(step.advice.retryAfter) {
+		return out
+	}
+	if b.ticketRequestsLeft <= 0 {
+		b.ticketRequestsWaiting++
+		longest := queue.TicketTime + time.Duration(min(len(unknown), maxTicketWorkers))*queue.TicketTimePerWorker
+		step.advice.turn = now.Add(time.Duration(b.ticketRequestsWaiting) * longest)
+		return out
 	}
+	b.ticketRequestsLeft--
+	step.advice.requesting = true
+	b.effects.TicketRequests = append(b.effects.TicketRequests, b.ticketRequest(queue, step, unknown))
 	return out
 }
 
@@ -75,7 +117,7 @@
 	for _, w := range pool {
 		held, ok := step.advice.tickets[w.ID]
 		switch {
-		case ok && held.incarnation.Equal(w.incarnation) && now.Add(ticketMargin).Before(held.until):
+		case ok && held.incarnation.Equal(w.incarnation) && now.Before(held.until):
 			admitted = append(admitted, w)
 			hasCapacity = hasCapacity || b.fits(w, step, next) || b.returnsTo(w, step)
 		case !step.advice.denied[w.ID] && (b.fits(w, step, next) || b.returnsTo(w, step)):
@@ -85,8 +127,12 @@
 	if step.spec.Gang {
 		hasCapacity = b.room(step, admitted) >= step.waiting
 	}
-	if hasCapacity {
+	switch {
+	case hasCapacity:
 		return admitted, nil
+	case step.spec.Gang && len(unknown) > 0:
+		// The tickets of all members must be valid together.
+		unknown = append(unknown, admitted...)
 	}
 	return admitted, unknown
 }
@@ -121,25 +167,51 @@
 	})
 }
 
-func (b *Board) requestTickets(queue catalog.Queue, step *stepState, workers []*workerState) {
+// ticketRequest returns the request for tickets of the workers that suit the step best:
+// those that it may certainly use, then those with the most free cores.
+func (b *Board) ticketRequest(queue catalog.Queue, step *stepState, workers []*workerState) TicketRequest {
 	slices.SortFunc(workers, func(a, c *workerState) int {
+		if permitted := step.advice.permitted[a.ID]; permitted != step.advice.permitted[c.ID] {
+			if permitted {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(-cmp.Compare(a.free().MilliCores, c.free().MilliCores), cmp.Compare(a.ID, c.ID))
 	})
-	workers = workers[:min(len(workers), maxTicketWorkers)]
-	step.advice.requesting = true
+	workers = workers[:b.ticketWorkers(queue, step, workers)]
 	request := TicketRequest{
 		Step:    step.tasks[0].key,
 		Timeout: queue.TicketTime + time.Duration(len(workers))*queue.TicketTimePerWorker,
+		Term:    queue.MinTicketTerm,
 	}
 	for _, w := range workers {
 		request.Workers = append(request.Workers, w.ID)
 	}
-	b.effects.TicketRequests = append(b.effects.TicketRequests, request)
+	return request
 }
 
-// TicketsReplied applies the answer to a ticket request: tickets by worker,
-// valid for term from when the request was sent. ok is false if no answer came.
-func (b *Board) TicketsReplied(request TicketRequest, granted map[string]string, term time.Duration, sent time.Time, ok bool, now time.Time) {
+// ticketWorkers is how many of the workers a request names: enough for the waiting tasks,
+// and as many more as do not make the call much longer.
+func (b *Board) ticketWorkers(queue catalog.Queue, step *stepState, workers []*workerState) int {
+	most, cheap := min(len(workers), maxTicketWorkers), maxTicketWorkers
+	if step.spec.Gang {
+		most = min(len(workers), maxGangTicketWorkers)
+	}
+	if queue.TicketTimePerWorker > 0 {
+		cheap = int(min(maxTicketWorkers, queue.TicketTime/queue.TicketTimePerWorker))
+	}
+	count, room := 0, 0
+	for count < most && (count < cheap || room < ticketRoom*step.waiting) {
+		room += b.room(step, workers[count:count+1])
+		count++
+	}
+	return count
+}
+
+// TicketsReplied applies the answer to a ticket request: tickets by worker, valid for a
+// term. ok is false if no answer came.
+func (b *Board) TicketsReplied(request TicketRequest, granted map[string]string, term time.Duration, ok bool, now time.Time) {
 	j := b.jobs[request.Step.Job]
 	if j == nil {
 		return
@@ -148,26 +220,32 @@
 	if step == nil || step.advice == nil {
 		return
 	}
-	step.advice.requesting = false
-	if !ok || len(granted) == 0 {
-		step.advice.retryAfter = now.Add(ticketRetryDelay)
-	}
+	given := step.advice
+	given.requesting = false
 	if !ok {
+		given.retryAfter = now.Add(ticketRetryDelay << min(given.failures, maxTicketDoublings))
+		given.failures++
 		return
 	}
+	given.failures = 0
+	if len(granted) == 0 {
+		given.retryAfter = now.Add(ticketRetryDelay)
+	}
+	until := now.Add(cmp.Or(max(0, term), max(0, request.Term), unknownTicketTerm))
 	for _, id := range request.Workers {
 		w := b.workers[id]
 		text, admitted := granted[id]
 		switch {
 		case w == nil:
 		case admitted:
-			step.advice.tickets[id] = ticket{
+			given.permitted[id] = true
+			given.tickets[id] = ticket{
 				text:        text,
 				incarnation: w.incarnation,
-				until:       sent.Add(term),
+				until:       until,
 			}
 		default:
-			step.advice.denied[id] = true
+			given.denied[id] = true
 		}
 	}
 }
--- a/internal/process/schedule/tickets_test.go
+++ b/internal/process/schedule/tickets_test.go
@@ -33,7 +33,7 @@
 	assert.Equal(t, []string{"w0", "w1"}, effects.TicketRequests[0].Workers)
 	assert.Empty(t, board.Decide(testStart, true).TicketRequests, "one request at a time")
 
-	board.TicketsReplied(effects.TicketRequests[0], map[string]string{"w1": "t1"}, 3*time.Second, testStart, true, testStart)
+	board.TicketsReplied(effects.TicketRequests[0], map[string]string{"w1": "t1"}, 3*time.Second, true, testStart)
 	effects = board.Decide(testStart, true)
 	require.Len(t, effects.Starts, 8, "the rest waits for capacity there")
 	for _, start := range effects.Starts {
@@ -55,7 +55,7 @@
 	board.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, false, testStart, testStart)
 	effects := board.Decide(testStart, true)
 	require.Len(t, effects.TicketRequests, 1)
-	board.TicketsReplied(effects.TicketRequests[0], nil, 0, testStart, false, testStart)
+	board.TicketsReplied(effects.TicketRequests[0], nil, 0, false, testStart)
 	assert.Empty(t, board.Decide(testStart, true).TicketRequests)
 	assert.Len(t, board.Decide(testStart.Add(ticketRetryDelay), true).TicketRequests, 1)
 }
@@ -67,7 +67,7 @@
 	board := advisedBoard()
 	board.AddJob(testJob("a", "plans", tasks(1, 1000)), nil, false, testStart, testStart)
 	request := board.Decide(testStart, true).TicketRequests[0]
-	board.TicketsReplied(request, map[string]string{"w1": "old"}, time.Minute, testStart, true, testStart)
+	board.TicketsReplied(request, map[string]string{"w1": "old"}, time.Minute, true, testStart)
 	starts := board.Decide(testStart, true).Starts
 	require.Len(t, starts, 1)
 	refusals, now := 0, testStart
@@ -86,7 +86,7 @@
 		effects := board.Decide(now, true)
 		starts = effects.Starts
 		for _, again := range effects.TicketRequests {
-			board.TicketsReplied(again, map[string]string{"w1": "new"}, time.Minute, now, true, now)
+			board.TicketsReplied(again, map[string]string{"w1": "new"}, time.Minute, true, now)
 		}
 	}
 	assert.Equal(t, 1, refusals)
@@ -110,7 +110,7 @@
 		poll(board, "w0", now)
 		poll(board, "w1", now)
 		for _, request := range board.Decide(now, true).TicketRequests {
-			board.TicketsReplied(request, map[string]string{"w0": "t0", "w1": "t1"}, time.Second, now, true, now)
+			board.TicketsReplied(request, map[string]string{"w0": "t0", "w1": "t1"}, time.Second, true, now)
 		}
 	}
 	decide(testStart)
@@ -141,7 +141,7 @@
 		now = now.Add(simulationStep)
 		board.workers["w0"].lastReport, board.workers["w1"].lastReport = now, now
 		for _, request := range board.Decide(now, true).TicketRequests {
-			board.TicketsReplied(request, map[string]string{"w0": "t0", "w1": "t1"}, time.Second, now, true, now)
+			board.TicketsReplied(request, map[string]string{"w0": "t0", "w1": "t1"}, time.Second, true, now)
 		}
 	}
 	assert.LessOrEqual(t, now.Sub(ended), 9*time.Second)
@@ -169,7 +169,7 @@
 					granted[id] = id
 				}
 			}
-			board.TicketsReplied(request, granted, time.Minute, now, true, now)
+			board.TicketsReplied(request, granted, time.Minute, true, now)
 		}
 	}
 	assert.Contains(t, startedJobs(board), "a")
