Bar the submission of a job that was cancelled before it took effect

Cause: a DELETE that found no record was answered at once, and nothing tied it to a submission on its way.

A cancellation of an unknown id is a write, conditional on there being no job in any shard; submissions are conditional on there being no cancellation. The leader cancels a job that a host of an earlier release submits all the same, and deletes bars a minute after their last write. A bar applies to the organisations that have cancelled, and is replaced by another one's submission. A host makes 20 such writes a second and refuses more. A POST after it is answered 410.

Ruled out: a lease of the store that ends the bar, as it may lapse in an outage before the late write. The same in `serve` is open.

--- a/internal/process/leader/acquisition.go
+++ b/internal/process/leader/acquisition.go
@@ -61,6 +61,7 @@
 	createRevisions map[string]int64
 	progress        map[string]*work.Progress
 	cancels         []string
+	bars            map[string]storedBar
 	// transferred and locations hold the transferred tasks by key.
 	transferred map[string]storedTask
 	locations   map[string]storedLocation
@@ -289,6 +290,7 @@
 	}
 	result.revision = listing.Revision
 	result.jobs, result.cancels, result.createRevisions = nil, nil, map[string]int64{}
+	result.bars = map[string]storedBar{}
 	result.transferred, result.locations = map[string]storedTask{}, map[string]storedLocation{}
 	for _, item := range listing.Items {
 		result.addItem(keys, item)
@@ -376,6 +378,11 @@
 func (r *acquisitionResult) addItem(keys *Keys, item store.Item) {
 	found := keys.decodeItem(item)
 	switch {
+	case found.bar != nil:
+		r.bars[found.cancelled] = storedBar{
+			bar:      found.bar,
+			revision: item.Revision,
+		}
 	case found.cancelled != "":
 		r.cancels = append(r.cancels, found.cancelled)
 	case found.job != nil:
--- a/internal/process/leader/keys.go
+++ b/internal/process/leader/keys.go
@@ -128,8 +128,11 @@
 // workItem is what an item under the work prefix holds: one of its fields is set, or
 // none.
 type workItem struct {
-	job         *work.Job
+	job *work.Job
+	// cancelled is the job of a cancellation, and bar what it bars if the job was not in
+	// the store then.
 	cancelled   string
+	bar         *work.Bar
 	transferred *work.TransferredTask
 	location    *work.Location
 }
@@ -142,6 +145,9 @@
 	switch {
 	case strings.HasPrefix(item.Key, k.Cancel("")):
 		out.cancelled = strings.TrimPrefix(item.Key, k.Cancel(""))
+		if len(item.Value) > 0 {
+			out.bar, err = work.DecodeBar(item.Value)
+		}
 	case strings.HasPrefix(item.Key, k.Job("")):
 		out.job, err = work.DecodeJob(item.Value)
 	case strings.HasPrefix(item.Key, k.work+prefixTransferred):
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -186,6 +186,7 @@
 	l.term.saveProgress(now)
 	l.term.savePlacements(now)
 	l.term.deleteOldJobs(now)
+	l.term.deleteBars(now)
 	l.term.saveLearned(now)
 	l.term.moves.balance(now)
 	l.term.quotas.revise(now)
--- a/internal/process/leader/observe.go
+++ b/internal/process/leader/observe.go
@@ -71,7 +71,9 @@
 		switch {
 		case t.isTermKey(event.Key):
 			t.leader.observeLeadEvent(event, now)
-		case !event.Removed:
+		case event.Removed:
+			t.forgetBar(event.Key)
+		default:
 			t.observeItem(event.Item, now)
 		}
 		if t.leader.term != t {
@@ -101,6 +103,8 @@
 func (t *term) observeItem(item store.Item, now time.Time) {
 	found := t.keys().decodeItem(item)
 	switch {
+	case found.bar != nil:
+		t.observeBar(found.cancelled, found.bar, item.Revision, now)
 	case found.cancelled != "":
 		klog.InfoS("job cancelled", "job", found.cancelled, "revision", item.Revision)
 		t.leader.board.Cancel(found.cancelled, now)
@@ -121,6 +125,10 @@
 	t.owners.add(job)
 	klog.InfoS("job seen", "job", job.ID, "queue", job.Queue, "revision", item.Revision)
 	t.leader.board.AddJob(job, nil, item.CreateRevision < t.firstToken, now, t.leader.config.TimeOfDay())
+	if t.bars.covers(job) {
+		klog.InfoS("job cancelled", "job", job.ID, "revision", item.Revision, "before", "submission")
+		t.leader.board.Cancel(job.ID, now)
+	}
 	if t.leader.config.UsualShard(job.ID) != t.leader.config.Shard {
 		t.leader.board.Arrived(job.ID)
 	}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -72,6 +72,9 @@
 	fences        fences
 	removed       removedJobs
 	owners        owners
+	bars          bars
+	// deletingBars is set while a commit that deletes bars is in flight.
+	deletingBars bool
 }
 
 func (t *term) keys() *Keys {
@@ -97,6 +100,7 @@
 		links:        map[string]*link{},
 		removed:      removedJobs{},
 		owners:       owners{},
+		bars:         bars{},
 	}
 	t.writer = writer{
 		term:     t,
@@ -130,6 +134,9 @@
 	for _, id := range result.cancels {
 		l.board.Cancel(id, now)
 	}
+	for id, stored := range result.bars {
+		t.observeBar(id, stored.bar, stored.revision, now)
+	}
 	t.moves = newMoves(t, result)
 	l.lag.began(result.resignations, now)
 	t.quotas = newQuotas(t)
--- a/internal/request/intake/cancel.go
+++ b/internal/request/intake/cancel.go
@@ -21,12 +21,21 @@
 
 // cancel writes the cancellation beside the job's record. The condition on that
 // record fails if the job has moved or was deleted meanwhile; then it is looked
-// for again.
+// for again. There is no such job once a cancellation bars every submission of it
+// that was sent before.
 func (i *Intake) cancel(ctx context.Context, access Access, id string) (Outcome, error) {
 	for range maxMoves {
 		item, at, err := i.find(ctx, id)
 		if errors.Is(err, store.ErrAbsent) {
-			return NoSuchJob, nil
+			err = i.bar(ctx, access, id)
+			switch {
+			case err == nil:
+				return NoSuchJob, nil
+			case errors.Is(err, errJobExists):
+				continue
+			case errors.Is(err, store.ErrUnknown):
+				return Unknown, err
+			}
 		}
 		if err != nil {
 			return NotAccepted, err
--- a/internal/request/intake/home.go
+++ b/internal/request/intake/home.go
@@ -30,19 +30,19 @@
 // submission returns the commit that accepts a job. A job is in at most one
 // shard: its key in the shard of the layout and the key that says where it has
 // moved are both required to be absent. A job whose data is on a rack goes to
-// the shard of that rack.
-func (i *Intake) submission(job *work.Job, value []byte) store.Commit {
+// the shard of that rack. A cancellation that does not apply to the job is replaced;
+// any other one must be absent.
+func (i *Intake) submission(job *work.Job, value []byte, barred store.Item) store.Commit {
 	usual := i.homeOf(i.config.Layout.OfJob(job.ID))
 	chosen := usual
 	if rack := rackOf(job); rack != "" {
 		chosen = i.homeOf(i.config.Layout.OfRack(rack))
 	}
 	commit := store.Commit{
-		If: []store.Condition{
-			{
-				Key: usual.keys.Job(job.ID),
-			},
-		},
+		If: append(i.absence(usual, job.ID), store.Condition{
+			Key:      usual.keys.Cancel(job.ID),
+			Revision: barred.Revision,
+		}),
 		Set: []store.Write{
 			{
 				Key:   chosen.keys.Job(job.ID),
@@ -50,10 +50,8 @@
 			},
 		},
 	}
-	if i.config.Layout.Shards > 1 {
-		commit.If = append(commit.If, store.Condition{
-			Key: leader.MovedKey(job.ID),
-		})
+	if barred.Revision != 0 {
+		commit.Delete = []string{barred.Key}
 	}
 	if chosen.shard != usual.shard {
 		commit.Set = append(commit.Set, store.Write{
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"mustardreach.example/mustardreach/internal/process/leader"
@@ -39,9 +40,12 @@
 	// IDInUse means that another organisation has a job with that id. The request
 	// has had no effect.
 	IDInUse
+	// CancelledBefore means that the caller has cancelled the job of a submission
+	// before. The submission has had no effect.
+	CancelledBefore
 )
 
-var outcomeNames = [...]string{"taken", "not_taken", "unknown", "no_such_job", "id_in_use"}
+var outcomeNames = [...]string{"taken", "not_taken", "unknown", "no_such_job", "id_in_use", "cancelled_before"}
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string {
@@ -71,6 +75,8 @@
 	config Config
 	// pending holds the newest counts of the leaders.
 	pending *pendingCounts
+	// bars limits the cancellations of unknown jobs.
+	bars *rate.Limiter
 }
 
 // New returns an Intake.
@@ -78,6 +84,7 @@
 	return &Intake{
 		config:  config,
 		pending: newPendingCounts(config.Layout.Shards),
+		bars:    rate.NewLimiter(barsPerSecond, barBurst),
 	}
 }
 
@@ -116,17 +123,27 @@
 	if err != nil {
 		return NotAccepted, 0, err
 	}
-	revision, err := i.write(ctx, i.submission(job, value), func() bool { return i.leaderKnows(ctx, access, job.ID) })
-	var conflict *store.ConflictError
-	switch {
-	case err == nil:
-		return Accepted, revision, nil
-	case errors.As(err, &conflict):
-		return i.existing(ctx, access, conflict, job.ID), i.existingRevision(conflict, value, job), nil
-	case errors.Is(err, store.ErrUnknown):
-		return Unknown, 0, err
+	cancelKey := i.homeOf(i.config.Layout.OfJob(job.ID)).keys.Cancel(job.ID)
+	barred := store.Item{}
+	for range maxMoves {
+		revision, err := i.write(ctx, i.submission(job, value, barred), func() bool { return i.leaderKnows(ctx, access, job.ID) })
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			return Accepted, revision, nil
+		case errors.Is(err, store.ErrUnknown):
+			return Unknown, 0, err
+		case !errors.As(err, &conflict):
+			return NotAccepted, 0, err
+		case i.jobIn(conflict, job.ID):
+			return i.existing(ctx, access, conflict, job.ID), i.existingRevision(conflict, value, job), nil
+		}
+		barred = itemOf(conflict, cancelKey)
+		if bar, err := work.DecodeBar(barred.Value); barred.Revision != 0 && (err != nil || bar.Covers(job.Organisation)) {
+			return CancelledBefore, 0, err
+		}
 	}
-	return NotAccepted, 0, err
+	return NotAccepted, 0, store.ErrUnavailable
 }
 
 // leaderKnows reports whether a leader has seen the record of the caller's job in
@@ -140,11 +157,8 @@
 // the id, zero if the conflict does not name it. A differing job is logged: a
 // caller that reuses an id gets the first job.
 func (i *Intake) existingRevision(conflict *store.ConflictError, value []byte, job *work.Job) int64 {
-	if len(conflict.Items) == 0 {
-		return 0
-	}
-	existing := conflict.Items[0]
-	if !bytes.Equal(existing.Value, value) {
+	existing := itemOf(conflict, i.homeOf(i.config.Layout.OfJob(job.ID)).keys.Job(job.ID))
+	if existing.Revision != 0 && !bytes.Equal(existing.Value, value) {
 		klog.InfoS("job already submitted", "job", job.ID, "revision", existing.Revision)
 	}
 	return existing.Revision
--- a/internal/request/intake/state.go
+++ b/internal/request/intake/state.go
@@ -104,7 +104,8 @@
 }
 
 // readProgressAt reads a job's state from its progress record and cancellation.
-// The outcome is NoSuchJob if there is neither.
+// The outcome is NoSuchJob if there is neither, or if the cancellation was written
+// without a job: then the state is that of a job that was submitted all the same.
 func (i *Intake) readProgressAt(ctx context.Context, at home, id string) (work.State, Outcome) {
 	item, err := i.config.Store.Get(ctx, at.keys.State(id))
 	if err == nil {
@@ -121,8 +122,18 @@
 	if !errors.Is(err, store.ErrAbsent) {
 		return work.Queued, Unknown
 	}
-	if _, err = i.config.Store.Get(ctx, at.keys.Cancel(id)); err == nil {
+	item, err = i.config.Store.Get(ctx, at.keys.Cancel(id))
+	switch {
+	case errors.Is(err, store.ErrAbsent):
+		return work.Queued, NoSuchJob
+	case err != nil:
+		return work.Queued, Unknown
+	}
+	if len(item.Value) == 0 {
 		return work.Cancelled, Accepted
 	}
+	if bar, err := work.DecodeBar(item.Value); err != nil || bar.Everyone {
+		return work.Cancelled, NoSuchJob
+	}
 	return work.Queued, NoSuchJob
 }
