Keep an ended job on the board until its records are gone

Cause: the job left the board before its deletion was in the store, and a deletion that fails was only logged; its record was hidden for two minutes.

A job leaves the board once the store has confirmed the deletion, which is repeated until then, on the condition of the records that the board knows: an id may be used again after a deletion without an answer. Removed records are remembered until a view as new as the removal, instead of two minutes; older views are passed over. Deletions of records of transferred tasks are repeated.

Changed tests: three call the deletion by its new name; TestOwnerMovesWithJob waits for the store's answer, which it did not need before.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -185,7 +185,7 @@
 	l.term.saveUnreachable(now)
 	l.term.saveProgress(now)
 	l.term.savePlacements(now)
-	l.term.deleteOldJobs(now)
+	l.term.oldJobs.delete(now)
 	l.term.deleteBars(now)
 	l.term.saveLearned(now)
 	l.term.moves.balance(now)
--- a/internal/process/leader/moves.go
+++ b/internal/process/leader/moves.go
@@ -201,7 +201,7 @@
 		if moved {
 			m.rounds.Arrived(transit, now)
 			board.Departed(move.Job.ID)
-			m.term.removed.add(move.Job.ID, m.revisions[move.Job.ID], now)
+			m.term.removed.add(move.Job.ID, m.revisions[move.Job.ID], m.term.writer.sequence)
 			delete(m.revisions, move.Job.ID)
 			m.term.owners.remove(move.Job.ID)
 			m.term.leader.config.Counts.Add("jobs_moved", 1)
--- a/internal/process/leader/moves_test.go
+++ b/internal/process/leader/moves_test.go
@@ -257,7 +257,7 @@
 	target.post(func(now time.Time) {
 		item, err := s.store.Client().Get(t.Context(), KeysOf(1, 2).Job("a"))
 		assert.NoError(t, err)
-		target.term.deleteOldJobs(now.Add(time.Hour))
+		target.term.oldJobs.delete(now.Add(time.Hour))
 		forgotten <- item
 	})
 	item := <-forgotten
--- a/internal/process/leader/observe.go
+++ b/internal/process/leader/observe.go
@@ -51,11 +51,16 @@
 
 // observeWork handles new jobs and cancellations in store order. The lead key or
 // the epoch has the same prefix, so that the end of this term is always seen
-// before a job that was submitted after the next one began.
+// before a job that was submitted after the next one began. What is no newer than an
+// earlier view is passed over: it may have records that are gone since.
 func (t *term) observeWork(view store.View, now time.Time) {
 	if view.Err != nil {
 		return
 	}
+	if view.Snapshot && view.Revision < t.workRevision {
+		klog.InfoS("list of jobs is older than one before", "revision", view.Revision, "before", t.workRevision)
+		return
+	}
 	for _, item := range view.Items {
 		if t.isTermKey(item.Key) {
 			t.leader.leadKeySet(decodeMember(item), item.Revision)
@@ -69,6 +74,7 @@
 	}
 	for _, event := range view.Events {
 		switch {
+		case event.Revision <= t.workRevision:
 		case t.isTermKey(event.Key):
 			t.leader.observeLeadEvent(event, now)
 		case event.Removed:
@@ -80,6 +86,9 @@
 			return
 		}
 	}
+	t.workRevision = max(t.workRevision, view.Revision)
+	t.removed.viewed(view.Revision)
+	t.transfers.removed.viewed(view.Revision)
 }
 
 // isTermKey reports whether each new term writes the key: the epoch has the
@@ -121,6 +130,9 @@
 	if t.removed.covers(job.ID, item.Revision) {
 		return
 	}
+	if known := t.moves.revisions[job.ID]; known != 0 && item.Revision > known && t.leader.board.Ended(job.ID) {
+		t.oldJobs.gone(job.ID) // its deletion got no answer, and the id is used again
+	}
 	t.moves.revisions[job.ID] = item.Revision
 	t.owners.add(job)
 	klog.InfoS("job seen", "job", job.ID, "queue", job.Queue, "revision", item.Revision)
--- a/internal/process/leader/owners_test.go
+++ b/internal/process/leader/owners_test.go
@@ -61,13 +61,15 @@
 	s.submitOwned(KeysOf(0, 2), "a", "mill")
 	s.waitCompletedIn([]*Group{group}, 1, "a")
 	assert.Equal(t, "mill", groupState(group, 1, "a").Organisation)
-	left := make(chan owners, 2)
+	left := make(chan int, 1)
 	for _, each := range group.leaders {
-		each.post(func(now time.Time) {
-			each.term.deleteOldJobs(now.Add(time.Hour))
-			left <- each.term.owners
-		})
-		assert.Empty(t, <-left)
+		require.Eventually(t, func() bool {
+			each.post(func(now time.Time) {
+				each.term.oldJobs.delete(now.Add(time.Hour))
+				left <- len(each.term.owners)
+			})
+			return <-left == 0
+		}, waitTimeout, 5*time.Millisecond)
 	}
 }
 
--- a/internal/process/leader/records.go
+++ b/internal/process/leader/records.go
@@ -175,45 +175,6 @@
 	}
 }
 
-// deleteOldJobs deletes the records of jobs that ended long ago.
-func (t *term) deleteOldJobs(now time.Time) {
-	if now.Sub(t.jobsDeletedAt) < deleteInterval || t.unoccupied {
-		return
-	}
-	t.jobsDeletedAt = now
-	const keysPerJob = 4
-	const maxJobs = (store.MaxEntries - guardEntries) / keysPerJob
-	ids := t.leader.board.Forget(now, maxJobs)
-	if len(ids) == 0 {
-		return
-	}
-	commit := store.Commit{}
-	t.removed.prune(now)
-	for _, id := range ids {
-		t.removed.add(id, t.moves.revisions[id], now)
-		t.owners.remove(id)
-		keys := []string{t.keys().Job(id), t.keys().Cancel(id), t.keys().State(id)}
-		if t.moves.revisions[id] != 0 {
-			keys = append(keys, MovedKey(id)) // of a job of another shard it is in use
-		}
-		delete(t.moves.revisions, id)
-		if tasks := t.transfers.forgetJob(id, now); len(tasks) > 0 {
-			t.transfers.deleteJob(tasks, keys)
-			continue
-		}
-		commit.Delete = append(commit.Delete, keys...)
-	}
-	t.writer.add(&pendingCommit{
-		commit: commit,
-		done: func(err error, _ time.Time) {
-			klog.InfoS("ended jobs deleted", "jobs", len(ids), "err", err)
-			if len(ids) == maxJobs {
-				t.jobsDeletedAt = time.Time{} // there may be more
-			}
-		},
-	})
-}
-
 // rosterMode encodes times with microseconds: a successor tells incarnations of a
 // worker apart by the time at which they began.
 var rosterMode = func() cbor.EncMode {
--- a/internal/process/leader/removed.go
+++ b/internal/process/leader/removed.go
@@ -1,39 +1,34 @@
 package leader
 
-import "time"
+import "maps"
 
-// removedAge is how long a removed job is remembered: far longer than a listing
-// or a watch may lag behind.
-const removedAge = 2 * time.Minute
+// removedRecords remembers the records that have moved to another shard or were
+// deleted, so that one which was read before that does not bring its job back. A view
+// of the store that is as new as the removal ends that: all later views are newer.
+type removedRecords map[string]removedRecord
 
-// removedJobs remembers the jobs that have moved to another shard or were
-// deleted, so that a record which was read before that does not bring them back.
-type removedJobs map[string]removedJob
-
-type removedJob struct {
+type removedRecord struct {
 	// revision is that of the record that was removed. A later record is that of
-	// a job that has moved back.
+	// a job that has moved back, or was submitted again.
 	revision int64
-	at       time.Time
+	// goneAt is a store revision at which the record was gone.
+	goneAt int64
 }
 
-func (r removedJobs) add(id string, revision int64, now time.Time) {
-	r[id] = removedJob{
+func (r removedRecords) add(id string, revision, goneAt int64) {
+	r[id] = removedRecord{
 		revision: revision,
-		at:       now,
+		goneAt:   goneAt,
 	}
 }
 
 // covers reports whether a record is one that was removed.
-func (r removedJobs) covers(id string, revision int64) bool {
+func (r removedRecords) covers(id string, revision int64) bool {
 	entry, ok := r[id]
 	return ok && revision <= entry.revision
 }
 
-func (r removedJobs) prune(now time.Time) {
-	for id, entry := range r {
-		if now.Sub(entry.at) > removedAge {
-			delete(r, id)
-		}
-	}
+// viewed forgets the records that no view can have any more, after one with a revision.
+func (r removedRecords) viewed(revision int64) {
+	maps.DeleteFunc(r, func(_ string, entry removedRecord) bool { return entry.goneAt <= revision })
 }
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -53,7 +53,7 @@
 	savingProgress    bool
 	savingUnreachable bool
 	progressSavedAt   time.Time
-	jobsDeletedAt     time.Time
+	oldJobs           oldJobs
 	roster            rosterState
 	placements        placementsState
 	learned           learnedState
@@ -70,9 +70,11 @@
 	transfers     transfers
 	quotas        quotas
 	fences        fences
-	removed       removedJobs
-	owners        owners
-	bars          bars
+	removed       removedRecords
+	// workRevision is that of the newest view of the jobs and cancellations.
+	workRevision int64
+	owners       owners
+	bars         bars
 	// deletingBars is set while a commit that deletes bars is in flight.
 	deletingBars bool
 }
@@ -98,14 +100,16 @@
 		undecodable:  map[string]bool{},
 		listFailedAt: now,
 		links:        map[string]*link{},
-		removed:      removedJobs{},
+		removed:      removedRecords{},
 		owners:       owners{},
 		bars:         bars{},
+		workRevision: result.revision,
 	}
 	t.writer = writer{
 		term:     t,
 		sequence: result.sequence,
 	}
+	t.oldJobs.term = t
 	l.term = t
 	l.takeDuty()
 	l.board = schedule.NewBoard(l.config.Board)
--- a/internal/process/leader/transfers.go
+++ b/internal/process/leader/transfers.go
@@ -26,7 +26,7 @@
 	// tasks and locations in this shard.
 	revisions map[string]map[string]int64
 	// removed holds the keys that were deleted.
-	removed removedJobs
+	removed removedRecords
 	// waiting holds the commits that are not sent yet, and writing is set while one is
 	// with the term's writer.
 	waiting []*transferCommit
@@ -65,7 +65,7 @@
 	return transfers{
 		term:      t,
 		revisions: map[string]map[string]int64{},
-		removed:   removedJobs{},
+		removed:   removedRecords{},
 		returned:  map[string]work.Location{},
 		returning: map[string]bool{},
 		early:     map[string]earlyTask{},
@@ -141,7 +141,6 @@
 
 // balance settles what is open and sends the tasks that should go to other shards.
 func (t *transfers) balance(loads map[string]map[int]shard.Load, now time.Time) {
-	t.removed.prune(now)
 	t.deleteKeys(t.orphans)
 	t.orphans = nil
 	open := t.unsettled
@@ -309,7 +308,7 @@
 		board.TransferDone(next)
 		t.term.leader.config.Counts.Add("tasks_transferred", 1)
 		if next.Returns() {
-			t.forget(next.Task.Key.Job, commit.key, commit.revision, now)
+			t.forget(next.Task.Key.Job, commit.key, commit.revision)
 		}
 	} else {
 		board.TransferFailed(next)
@@ -362,8 +361,7 @@
 	commit.done = func(effect bool, err error, now time.Time) {
 		board.TakenBack(returned, effect, now)
 		if effect {
-			delete(t.returned, key)
-			t.forget(location.Key.Job, key, revision, now)
+			t.forget(location.Key.Job, key, revision)
 		}
 		klog.InfoS("task taken back", "task", location.Key, "shard", t.term.leader.config.Shard, "down", location.Down, "done", effect, "err", err)
 	}
@@ -371,48 +369,21 @@
 }
 
 // forget drops a key that was deleted.
-func (t *transfers) forget(job, key string, revision int64, now time.Time) {
-	t.removed.add(key, revision, now)
+func (t *transfers) forget(job, key string, revision int64) {
+	t.removed.add(key, revision, t.term.writer.sequence)
+	delete(t.returned, key)
 	delete(t.revisions[job], key)
 	if len(t.revisions[job]) == 0 {
 		delete(t.revisions, job)
 	}
 }
 
-// forgetJob drops the records of a job's transferred tasks. It returns their keys, which
-// are to be deleted.
-func (t *transfers) forgetJob(job string, now time.Time) []string {
-	keys := slices.Sorted(maps.Keys(t.revisions[job]))
-	for _, key := range keys {
-		delete(t.returned, key)
-		t.forget(job, key, t.revisions[job][key], now)
-	}
-	return keys
-}
-
-// deleteJob deletes the records of a job's transferred tasks, and then those of the job.
-// Its end is deleted last, and not at all if a commit before has failed: without it, a
-// successor would start the tasks again.
-func (t *transfers) deleteJob(tasks, job []string) {
-	batch := tasks[:min(len(tasks), store.MaxEntries-guardEntries-len(job))]
-	tasks = tasks[len(batch):]
-	commit := store.Commit{
-		Delete: slices.Clone(batch),
-	}
-	if len(tasks) == 0 {
-		commit.Delete = append(commit.Delete, job...)
-	}
-	t.term.writer.add(&pendingCommit{
-		commit: commit,
-		done: func(err error, _ time.Time) {
-			klog.InfoS("records of transferred tasks deleted", "keys", len(commit.Delete), "first", commit.Delete[0], "err", err)
-			if err == nil && len(tasks) > 0 {
-				t.deleteJob(tasks, job)
-			}
-		},
-	})
+// keysOf returns the keys of the records of a job's transferred tasks.
+func (t *transfers) keysOf(job string) []string {
+	return slices.Sorted(maps.Keys(t.revisions[job]))
 }
 
+// deleteKeys deletes records of tasks that have no job. What fails is tried again.
 func (t *transfers) deleteKeys(keys []string) {
 	for batch := range slices.Chunk(keys, store.MaxEntries-guardEntries) {
 		t.term.writer.add(&pendingCommit{
@@ -422,6 +393,7 @@
 			done: func(err error, _ time.Time) {
 				if err != nil {
 					klog.InfoS("records of transferred tasks not deleted", "keys", len(batch), "first", batch[0], "err", err)
+					t.orphans = append(t.orphans, batch...)
 				}
 			},
 		})
--- a/internal/process/leader/transfers_test.go
+++ b/internal/process/leader/transfers_test.go
@@ -367,8 +367,8 @@
 		require.Eventually(t, func() bool {
 			gone := make(chan bool, 1)
 			each.post(func(now time.Time) {
-				each.term.jobsDeletedAt = time.Time{}
-				each.term.deleteOldJobs(now.Add(time.Hour))
+				each.term.oldJobs.triedAt = time.Time{}
+				each.term.oldJobs.delete(now.Add(time.Hour))
 				gone <- len(each.term.transfers.revisions) == 0
 			})
 			return <-gone
--- a/internal/process/schedule/records.go
+++ b/internal/process/schedule/records.go
@@ -91,15 +91,25 @@
 	}
 }
 
-// Forget drops up to limit jobs that ended more than KeepEnded ago and whose
-// ends are in the store. It returns their ids.
-func (b *Board) Forget(now time.Time, limit int) []string {
+// Forgettable returns up to limit jobs that ended more than KeepEnded ago and whose ends
+// are in the store, by id.
+func (b *Board) Forgettable(now time.Time, limit int) []string {
 	var out []string
 	for id, j := range b.jobs {
-		if len(out) < limit && j.progress.State.Final() && j.claims == 0 && j.durable == j.version && now.Sub(j.ended) > b.config.KeepEnded {
-			delete(b.jobs, id)
+		if j.progress.State.Final() && j.claims == 0 && j.durable == j.version && now.Sub(j.ended) > b.config.KeepEnded {
 			out = append(out, id)
 		}
 	}
-	return out
+	slices.Sort(out)
+	return out[:min(len(out), limit)]
+}
+
+// Forget drops a job whose records are gone from the store.
+func (b *Board) Forget(id string) {
+	delete(b.jobs, id)
+}
+
+// Ended reports whether a job is known and in a final state.
+func (b *Board) Ended(id string) bool {
+	return b.jobs[id] != nil && b.open[id] == nil
 }
