Record the terms of a queue with its jobs

Cause: what a queue says of its jobs was read from the configuration in force; the leader that had seen the queue remembered the limit, and its successor did not know it.

Hosts record the queue's terms with each job: service, priority, attempts, time objective, tickets. The newest values hold while the queue is there; when it is removed, its last terms bind its open jobs, and are written into the progress record if they differ from those of the acceptance. Old records are read as before.

With the recorded terms left out, TestAttemptsOutliveTheirQueueAndLeader fails (11 starts instead of 2 and of 3 under a successor), and TestJobsKeepTheLastTermsOfTheirQueue at once.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -233,6 +233,7 @@
 
 // SetCatalog puts a version of the configuration into force.
 func (b *Board) SetCatalog(newest *catalog.Catalog) {
+	b.keepTerms(newest)
 	b.catalog = newest
 	for name := range newest.Services {
 		b.services[name] = true
@@ -273,16 +274,14 @@
 	if queue, ok := b.catalog.Queues[j.work.Queue]; ok {
 		return queue.Service
 	}
-	return j.work.Service
+	terms, _ := b.termsOf(j)
+	return terms.Service
 }
 
 // attemptsOf returns the most attempts of a task of the job, zero for no limit.
-// The last known limit stays when the queue leaves the configuration.
 func (b *Board) attemptsOf(j *job) int {
-	if queue, ok := b.catalog.Queues[j.work.Queue]; ok {
-		j.attempts = queue.MaxAttempts
-	}
-	return j.attempts
+	terms, _ := b.termsOf(j)
+	return terms.MaxAttempts
 }
 
 // IsOpen reports whether a job is known and not in a final state.
--- a/internal/process/schedule/estimates.go
+++ b/internal/process/schedule/estimates.go
@@ -48,12 +48,12 @@
 
 // objective returns when the job should be done to keep its full value.
 func (b *Board) objective(j *job) time.Time {
-	queue, ok := b.catalog.Queues[j.work.Queue]
+	terms, ok := b.termsOf(j)
 	if !ok {
 		return j.arrived
 	}
 	chain := j.work.CriticalPath(func(step *work.Step) time.Duration { return step.Estimate })
-	return j.arrived.Add(time.Duration(queue.Stretch*float64(chain)) + queue.Target)
+	return j.arrived.Add(time.Duration(terms.Stretch*float64(chain)) + terms.Target)
 }
 
 // criticalPath is the longest sum of estimated run times along a chain of
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -142,8 +142,9 @@
 	hasLocated bool
 	// seen is when the job was added here.
 	seen time.Time
-	// attempts is the last known limit of attempts per task, zero for no limit.
-	attempts int
+	// terms are the last known ones of the job's queue as long as the configuration in
+	// force lacks it; nil if they are not known.
+	terms *work.Terms
 
 	occurrences []*occurrence
 	left        int
@@ -196,6 +197,7 @@
 	if progress != nil {
 		j.recorded = true
 		j.restore(progress)
+		b.setPriority(j)
 	}
 	b.joinOrganisation(j)
 	j.objective = b.objective(j)
@@ -228,14 +230,19 @@
 	if inherited {
 		j.inherited, j.fromEarlierTerm = b.token, true
 	}
-	if queue, ok := b.catalog.Queues[spec.Queue]; ok {
-		j.attempts, j.priority = queue.MaxAttempts, queue.Priority
-	}
-	j.rank.Priority = j.priority
+	j.terms = spec.Terms
+	b.setPriority(j)
 	j.build(now, timeOfDay)
 	return j
 }
 
+// setPriority gives a job the priority of its queue. It keeps that for as long as it is
+// here.
+func (b *Board) setPriority(j *job) {
+	terms, _ := b.termsOf(j)
+	j.priority, j.rank.Priority = terms.Priority, terms.Priority
+}
+
 func (j *job) build(now, timeOfDay time.Time) {
 	for k := range j.work.Occurrences() {
 		occ := &occurrence{
@@ -274,6 +281,7 @@
 func (j *job) restore(progress *work.Progress) {
 	j.progress.State = progress.State
 	j.progress.Started = progress.Started
+	j.restoreTerms(progress)
 	number := 0
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
@@ -293,6 +301,13 @@
 	}
 }
 
+// restoreTerms applies the terms of a queue that was removed.
+func (j *job) restoreTerms(progress *work.Progress) {
+	if progress.Terms != nil {
+		j.terms, j.progress.Terms = progress.Terms, progress.Terms
+	}
+}
+
 // restore applies what a progress record has of the task with a number. A run that it
 // names counts as ended at seen unless an earlier end is known.
 func (t *task) restore(progress *work.Progress, number int, seen time.Time) {
@@ -348,6 +363,7 @@
 		SavedCheckpoints: map[int]string{},
 		Placements:       map[int]string{},
 		Crashes:          map[int][]int64{},
+		Terms:            j.progress.Terms,
 	}
 	number, bits := 0, []byte{}
 	for _, occ := range j.occurrences {
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -259,8 +259,11 @@
 // urgent reports whether the job is a quick one of the highest priority:
 // lower-priority work is preempted for it.
 func (b *Board) urgent(j *job) bool {
-	queue, ok := b.catalog.Queues[j.work.Queue]
-	return ok && queue.Priority == 0 && !j.work.LongRunning()
+	if j.work.LongRunning() {
+		return false
+	}
+	terms, ok := b.termsOf(j)
+	return ok && terms.Priority == 0
 }
 
 // reservedSize is the capacity that a task of the step claims.
--- a/internal/process/schedule/transferred.go
+++ b/internal/process/schedule/transferred.go
@@ -57,6 +57,7 @@
 	}
 	if progress != nil {
 		j.progress.State = progress.State
+		j.restoreTerms(progress)
 	}
 	b.joinOrganisation(j)
 	j.objective = b.objective(j)
--- a/internal/request/work/job.go
+++ b/internal/request/work/job.go
@@ -94,6 +94,9 @@
 	// EntryZone is the availability zone of the host that accepted the job; empty
 	// if an earlier release accepted it.
 	EntryZone string `cbor:"11,keyasint,omitempty"`
+	// Terms are those of the queue when the job was accepted, nil if an earlier release
+	// accepted it.
+	Terms *Terms `cbor:"12,keyasint,omitempty"`
 }
 
 // Occurrences returns how often the steps run, at least once.
--- a/internal/request/work/progress.go
+++ b/internal/request/work/progress.go
@@ -49,6 +49,9 @@
 	// Crashes lists, by task number, the runs that may have crashed their
 	// workers.
 	Crashes map[int][]int64 `cbor:"7,keyasint,omitempty"`
+	// Terms are the last ones of a queue that was removed, nil if they are those of the
+	// job's acceptance.
+	Terms *Terms `cbor:"8,keyasint,omitempty"`
 }
 
 // EncodeJob encodes a job record. Errors: ErrInvalid.
