Request tickets for jobs whose queue was removed

Cause: whether a step needs tickets was read from the configuration in force, in four places; starts went out without them and were rejected, for ever.

It is read from the terms of the job, as its attempts are.

TestTicketsAreNeededAfterTheirQueueIsRemoved failed before (same leader and successor: ticket "" instead of "t0").

--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -61,8 +61,8 @@
 			continue
 		}
 		workers, shortages := b.poolFor(j, known, now)
-		if queue := b.catalog.Queues[j.work.Queue]; queue.RequiresTicket && len(workers) > 0 {
-			workers, shortages = b.admitted(queue, step, workers, now), newShortage()
+		if terms, _ := b.termsOf(j); terms.RequiresTicket && len(workers) > 0 {
+			workers, shortages = b.admitted(&terms, step, workers, now), newShortage()
 		}
 		if b.preference(j, step, workers, now).groupWaits() {
 			continue
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -138,6 +138,7 @@
 
 // placeJob starts the tasks of a job that are ready and fit.
 func (b *Board) placeJob(j *job, pool []*workerState, shortages *shortage, now time.Time) {
+	terms, _ := b.termsOf(j)
 	for _, occ := range j.occurrences {
 		if occ.left == 0 {
 			continue
@@ -147,10 +148,10 @@
 				continue
 			}
 			workers, stepShortages := pool, shortages
-			if queue := b.catalog.Queues[j.work.Queue]; queue.RequiresTicket {
+			if terms.RequiresTicket {
 				// A task that fits on none of these few workers may still fit
 				// on another.
-				workers = b.admitted(queue, step, pool, now)
+				workers = b.admitted(&terms, step, pool, now)
 				stepShortages = newShortage()
 			}
 			if step.spec.Gang {
--- a/internal/process/schedule/preference.go
+++ b/internal/process/schedule/preference.go
@@ -34,7 +34,7 @@
 	if step.spec.Rack == "" && !step.spec.OneRack {
 		return nil
 	}
-	if b.catalog.Queues[j.work.Queue].RequiresTicket {
+	if terms, _ := b.termsOf(j); terms.RequiresTicket {
 		return nil
 	}
 	p := &preference{
--- a/internal/process/schedule/stepcause.go
+++ b/internal/process/schedule/stepcause.go
@@ -166,7 +166,7 @@
 			excluded: &s.view.excluded,
 		}
 	}
-	if b.catalog.Queues[s.job.work.Queue].RequiresTicket {
+	if terms, _ := b.termsOf(s.job); terms.RequiresTicket {
 		return s.ticketCause(t)
 	}
 	if s.waitsForRack(t.wait) || s.waitsForRack(s.step.wait) {
--- a/internal/process/schedule/terms_test.go
+++ b/internal/process/schedule/terms_test.go
@@ -169,3 +169,59 @@
 	assert.Zero(t, board.attemptsOf(board.jobs["a"]))
 	assert.Equal(t, "workshop", board.serviceOf(board.jobs["a"]))
 }
+
+// Guards against a step that is refused for want of a ticket for ever: its queue with
+// advice was removed between two steps of its job.
+func TestTicketsAreNeededAfterTheirQueueIsRemoved(t *testing.T) {
+	for name, successor := range map[string]bool{
+		"same leader": false,
+		"successor":   true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			board := advisedBoard()
+			config := board.catalog
+			second := tasks(1, 1000)
+			second.After = []int{0}
+			spec := acceptedJob("a", config.Queues["plans"], tasks(1, 1000), second)
+			board.AddJob(spec, nil, false, testStart, testStart)
+			now, starts := testStart, 0
+			for range 100 {
+				now = now.Add(simulationStep)
+				poll(board, "w0", now)
+				poll(board, "w1", now)
+				effects := board.Decide(now, true)
+				for _, request := range effects.TicketRequests {
+					board.TicketsReplied(request, map[string]string{"w0": "t0"}, time.Second, true, now)
+				}
+				for _, start := range effects.Starts {
+					require.Equal(t, "t0", start.Ticket, "start of %s", start.Key)
+					starts++
+					board.StartReplied(start, Accepted, now)
+					board.ApplyReport("w0", Inventory{
+						Born: testBorn,
+						Ended: []EndedTask{{
+							Number: int64(starts),
+							Key:    start.Key,
+							Run:    start.Run,
+							Ending: EndedDone,
+						}},
+						Sent: now,
+					}, now)
+					if starts > 1 {
+						continue
+					}
+					config = withoutQueue(config, "plans")
+					board.SetCatalog(config)
+					if successor {
+						records := save(board)
+						board = testBoard("w0", "w1")
+						board.SetCatalog(config)
+						board.AddJob(spec, &records[0].Progress, false, now, now)
+					}
+				}
+			}
+			assert.Equal(t, 2, starts)
+			assert.True(t, board.Ended("a"))
+		})
+	}
+}
--- a/internal/process/schedule/tickets.go
+++ b/internal/process/schedule/tickets.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"mustardreach.example/mustardreach/internal/request/work"
-	"mustardreach.example/mustardreach/internal/version/catalog"
 )
 
 // TicketRequest asks for tickets for a step: only workers with a ticket may run
@@ -83,7 +82,7 @@
 // admitted returns the workers with a ticket for the step, and requests more
 // tickets when none of them has capacity. Load pattern: an external policy
 // permits only a few workers, and takes its time to say which.
-func (b *Board) admitted(queue catalog.Queue, step *stepState, pool []*workerState, now time.Time) []*workerState {
+func (b *Board) admitted(terms *work.Terms, step *stepState, pool []*workerState, now time.Time) []*workerState {
 	if step.advice == nil {
 		step.advice = &advice{
 			tickets:   map[string]ticket{},
@@ -98,13 +97,13 @@
 	}
 	if b.ticketRequestsLeft <= 0 {
 		b.ticketRequestsWaiting++
-		longest := queue.TicketTime + time.Duration(min(len(unknown), maxTicketWorkers))*queue.TicketTimePerWorker
+		longest := terms.TicketTime + time.Duration(min(len(unknown), maxTicketWorkers))*terms.TicketTimePerWorker
 		step.advice.turn = now.Add(time.Duration(b.ticketRequestsWaiting) * longest)
 		return out
 	}
 	b.ticketRequestsLeft--
 	step.advice.requesting = true
-	b.effects.TicketRequests = append(b.effects.TicketRequests, b.ticketRequest(queue, step, unknown))
+	b.effects.TicketRequests = append(b.effects.TicketRequests, b.ticketRequest(terms, step, unknown))
 	return out
 }
 
@@ -169,7 +168,7 @@
 
 // ticketRequest returns the request for tickets of the workers that suit the step best:
 // those that it may certainly use, then those with the most free cores.
-func (b *Board) ticketRequest(queue catalog.Queue, step *stepState, workers []*workerState) TicketRequest {
+func (b *Board) ticketRequest(terms *work.Terms, step *stepState, workers []*workerState) TicketRequest {
 	slices.SortFunc(workers, func(a, c *workerState) int {
 		if permitted := step.advice.permitted[a.ID]; permitted != step.advice.permitted[c.ID] {
 			if permitted {
@@ -179,11 +178,11 @@
 		}
 		return cmp.Or(-cmp.Compare(a.free().MilliCores, c.free().MilliCores), cmp.Compare(a.ID, c.ID))
 	})
-	workers = workers[:b.ticketWorkers(queue, step, workers)]
+	workers = workers[:b.ticketWorkers(terms, step, workers)]
 	request := TicketRequest{
 		Step:    step.tasks[0].key,
-		Timeout: queue.TicketTime + time.Duration(len(workers))*queue.TicketTimePerWorker,
-		Term:    queue.MinTicketTerm,
+		Timeout: terms.TicketTime + time.Duration(len(workers))*terms.TicketTimePerWorker,
+		Term:    terms.MinTicketTerm,
 	}
 	for _, w := range workers {
 		request.Workers = append(request.Workers, w.ID)
@@ -193,13 +192,13 @@
 
 // ticketWorkers is how many of the workers a request names: enough for the waiting tasks,
 // and as many more as do not make the call much longer.
-func (b *Board) ticketWorkers(queue catalog.Queue, step *stepState, workers []*workerState) int {
+func (b *Board) ticketWorkers(terms *work.Terms, step *stepState, workers []*workerState) int {
 	most, cheap := min(len(workers), maxTicketWorkers), maxTicketWorkers
 	if step.spec.Gang {
 		most = min(len(workers), maxGangTicketWorkers)
 	}
-	if queue.TicketTimePerWorker > 0 {
-		cheap = int(min(maxTicketWorkers, queue.TicketTime/queue.TicketTimePerWorker))
+	if terms.TicketTimePerWorker > 0 {
+		cheap = int(min(maxTicketWorkers, terms.TicketTime/terms.TicketTimePerWorker))
 	}
 	count, room := 0, 0
 	for count < most && (count < cheap || room < ticketRoom*step.waiting) {
