Ask for the report that a barred run waits for

Cause: the stop was accepted, but a poll on its way waited 1.5 s for an end, and the next one did so again; only a report from after the stop grace shows that the run does not go on.

A poll of a worker that has barred a run waits until the stop grace is over, and not at all after that. One of a worker with a start without an answer that is being stopped waits half a second at most.

--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -116,6 +116,7 @@
 		if t.leader.board.NeedsFrequentPolls(id) {
 			wait = servingWait
 		}
+		wait = t.leader.board.PollWait(id, wait, now)
 		if workerLink.withoutAck {
 			lastSeen, wait = 0, 0
 		}
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -183,6 +183,31 @@
 	}
 }
 
+// pollWaitInDoubt is how long a poll of a worker may wait for an end while a start there
+// had no answer and is being stopped.
+const pollWaitInDoubt = 500 * time.Millisecond
+
+// PollWait returns how long the next poll of a worker may wait for an end, given how long
+// it usually does. A run that the worker has barred needs a report from after the stop
+// grace: a poll that is sent before, and waits, would delay it, and the next one would
+// wait again.
+func (b *Board) PollWait(id string, usual time.Duration, now time.Time) time.Duration {
+	w := b.workers[id]
+	if w == nil {
+		return usual
+	}
+	wait := usual
+	for _, held := range w.claims {
+		switch {
+		case !held.barred.IsZero():
+			wait = min(wait, max(0, held.barred.Add(b.config.StopGrace).Sub(now)))
+		case !held.confirmed && !held.startDue:
+			wait = min(wait, pollWaitInDoubt)
+		}
+	}
+	return wait
+}
+
 // needsStop reports whether the run must not go on: its task does not want it any
 // more, or a copy of its start that got no answer may still begin it. The stop is
 // repeated until the worker accepts it.
