Know the services of all jobs, and look for old bars five times a second

Found by reading the change again, not seen by callers: a leader whose only job of a service was a transferred task, or whose queue had been sent to another service before it was removed, did not know that service, and would not have used its workers. It is recorded for every job and its terms. Bars to delete were looked for, and sorted, in each decision; now five times a second.

TestServicesOfJobsAreKnown failed before on the service of the recorded terms; that of a transferred task has no test of its own.

--- a/internal/process/leader/bars.go
+++ b/internal/process/leader/bars.go
@@ -17,6 +17,9 @@
 // last write. A write whose answer was lost takes effect within seconds.
 const barAge = time.Minute
 
+// barDeleteGap is the pause between two searches for bars to delete.
+const barDeleteGap = 200 * time.Millisecond
+
 // storedBar is the cancellation of a job that was not in the store.
 type storedBar struct {
 	bar      *work.Bar
@@ -60,9 +63,10 @@
 
 // deleteBars deletes the bars that are old enough.
 func (t *term) deleteBars(now time.Time) {
-	if t.deletingBars || t.unoccupied {
+	if t.deletingBars || t.unoccupied || len(t.bars) == 0 || now.Sub(t.barsSearchedAt) < barDeleteGap {
 		return
 	}
+	t.barsSearchedAt = now
 	const entriesPerBar = 2
 	const maxBars = (store.MaxEntries - guardEntries) / entriesPerBar
 	ids := []string{}
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -75,8 +75,10 @@
 	workRevision int64
 	owners       owners
 	bars         bars
-	// deletingBars is set while a commit that deletes bars is in flight.
-	deletingBars bool
+	// deletingBars is set while a commit that deletes bars is in flight, and
+	// barsSearchedAt is when bars to delete were last looked for.
+	deletingBars   bool
+	barsSearchedAt time.Time
 }
 
 func (t *term) keys() *Keys {
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -191,12 +191,12 @@
 	}
 	const maxAge = time.Minute // limits the effect of a jump of the wall clock
 	age := min(max(0, timeOfDay.Sub(spec.Accepted)), maxAge)
-	b.services[spec.Service] = true
 	j := b.newJob(spec, inherited, now.Add(-age), now, timeOfDay)
 	j.ageBounded = age == maxAge
 	if progress != nil {
 		j.recorded = true
 		j.restore(progress)
+		b.services[b.serviceOf(j)] = true
 		b.setPriority(j)
 	}
 	b.joinOrganisation(j)
@@ -231,6 +231,7 @@
 		j.inherited, j.fromEarlierTerm = b.token, true
 	}
 	j.terms = spec.Terms
+	b.services[spec.Service] = true
 	b.setPriority(j)
 	j.build(now, timeOfDay)
 	return j
--- a/internal/process/schedule/terms_test.go
+++ b/internal/process/schedule/terms_test.go
@@ -29,9 +29,9 @@
 	return out
 }
 
-// acceptedJob returns a job that was accepted under the terms of its queue.
-func acceptedJob(id string, queue catalog.Queue, steps ...work.Step) *work.Job {
-	job := testJob(id, queue.Name, steps...)
+// acceptedJob returns job "a", which was accepted under the terms of its queue.
+func acceptedJob(queue catalog.Queue, steps ...work.Step) *work.Job {
+	job := testJob("a", queue.Name, steps...)
 	terms := queue.Terms()
 	job.Terms = &terms
 	return job
@@ -73,7 +73,7 @@
 			queue.MaxAttempts = 2
 			config = withQueue(config, queue)
 			board.SetCatalog(config)
-			spec := acceptedJob("a", queue, tasks(1, 1000))
+			spec := acceptedJob(queue, tasks(1, 1000))
 			board.AddJob(spec, nil, false, testStart, testStart)
 			if test.changed != 0 {
 				queue.MaxAttempts = test.changed
@@ -133,7 +133,7 @@
 			board.SetCatalog(config)
 		}
 		draw()
-		spec := acceptedJob("a", queue, tasks(1, 1000))
+		spec := acceptedJob(queue, tasks(1, 1000))
 		board.AddJob(spec, nil, false, testStart, testStart)
 		var progress *work.Progress
 		for range 12 {
@@ -182,7 +182,7 @@
 			config := board.catalog
 			second := tasks(1, 1000)
 			second.After = []int{0}
-			spec := acceptedJob("a", config.Queues["plans"], tasks(1, 1000), second)
+			spec := acceptedJob(config.Queues["plans"], tasks(1, 1000), second)
 			board.AddJob(spec, nil, false, testStart, testStart)
 			now, starts := testStart, 0
 			for range 100 {
@@ -225,3 +225,21 @@
 		})
 	}
 }
+
+// Guards against workers that are not used because no configuration in force names their
+// service: jobs that were accepted before still need them.
+func TestServicesOfJobsAreKnown(t *testing.T) {
+	board := NewBoard(testConfig())
+	queue := testCatalog().Queues["plans"]
+	spec := acceptedJob(queue, tasks(1, 1000))
+	spec.Service = "accepted"
+	terms := queue.Terms()
+	terms.Service = "moved"
+	assert.False(t, board.KnowsService("accepted"))
+	board.AddJob(spec, &work.Progress{
+		Terms: &terms,
+	}, false, testStart, testStart)
+	assert.True(t, board.KnowsService("accepted"))
+	assert.True(t, board.KnowsService("moved"))
+	assert.False(t, board.KnowsService("inventory"))
+}
--- a/internal/process/schedule/transferred.go
+++ b/internal/process/schedule/transferred.go
@@ -58,6 +58,7 @@
 	if progress != nil {
 		j.progress.State = progress.State
 		j.restoreTerms(progress)
+		b.services[b.serviceOf(j)] = true
 	}
 	b.joinOrganisation(j)
 	j.objective = b.objective(j)
