Limit cancellations of unknown jobs to two a second a host

By arithmetic, not seen by callers: 20 a second at each of 42 or 63 hosts are more writes than the store takes from all of them (400 to 1,200 a second); its 429 would reach submissions and the leader. A host makes 2 a second after the first 50 and refuses more with 503, so that all hosts stay below their share of 3.5 writes a second each (docs/CAPACITY.md). The tests use the constants.

--- a/internal/request/intake/bar.go
+++ b/internal/request/intake/bar.go
@@ -13,8 +13,9 @@
 const (
 	// barsPerSecond and barBurst limit the cancellations of unknown jobs at this host,
 	// each of which is a write. A caller may send ids that never existed.
-	barsPerSecond = 20
-	barBurst      = 100
+	// All hosts together must stay within a fraction of the store's writes.
+	barsPerSecond = 2
+	barBurst      = 50
 )
 
 var (
