--- a/internal/process/command/serve.go
+++ b/internal/process/command/serve.go
@@ -26,7 +26,8 @@
 		ShortUsage: "mustardreach serve -config FILE.ini [-SECTION.KEY VALUE ...]",
 		ShortHelp:  "run an entry host",
 		LongHelp: "Each flag is also a key of the file, [SECTION] KEY, and an environment variable,\n" +
-			"MUSTARDREACH_SECTION_KEY. Flags override the environment, which overrides the file.",
+			"MUSTARDREACH_SECTION_KEY. Flags override the environment, which overrides the file.\n" +
+			"They hold for the life of the process: SIGHUP is ignored.",
 		FlagSet: flags,
 		Options: config.Options(),
 		Exec: func(ctx context.Context, args []string) error {
--- a/internal/process/leader/bars.go
+++ b/internal/process/leader/bars.go
@@ -49,7 +49,7 @@
 		seenAt:   now,
 	}
 	if t.leader.board.IsOpen(id) && bar.Covers(t.owners[id]) {
-		klog.InfoS("job cancelled", "job", id, "revision", revision, "before", "submission")
+		klog.InfoS("job cancelled", "job", id, "revision", revision, "cause", "cancelled_before")
 		t.leader.board.Cancel(id, now)
 	}
 }
--- a/internal/process/leader/observe.go
+++ b/internal/process/leader/observe.go
@@ -138,7 +138,7 @@
 	klog.InfoS("job seen", "job", job.ID, "queue", job.Queue, "revision", item.Revision)
 	t.leader.board.AddJob(job, nil, item.CreateRevision < t.firstToken, now, t.leader.config.TimeOfDay())
 	if t.bars.covers(job) {
-		klog.InfoS("job cancelled", "job", job.ID, "revision", item.Revision, "before", "submission")
+		klog.InfoS("job cancelled", "job", job.ID, "revision", item.Revision, "cause", "cancelled_before")
 		t.leader.board.Cancel(job.ID, now)
 	}
 	if t.leader.config.UsualShard(job.ID) != t.leader.config.Shard {
