Start fillers in a busy service although they interfere

Cause: a filler is not placed where it would take more than 0.6 of a serving task's headroom by estimate, and the exception for jobs with nothing running holds only while less than 0.65 of the service's cores are claimed. The estimate is renewed by running fillers of the image only; none runs, so the wait has no end.

In a busy service a job of fillers with nothing running is excepted after 3 s, one filler or gang in 3 s for each service. Its reports renew the estimate.

Failed before the fix: TestInterferingFillerIsNotStarvedInABusyService (no start).

--- a/internal/process/schedule/capacitycause.go
+++ b/internal/process/schedule/capacitycause.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	found := b.shortages[s.pool]
-	return found != nil && found.rulesOut(s.step.spec) && !b.starving(s.job.work.ID) && !b.longDown(s.step, t, s.now)
+	return found != nil && found.rulesOut(s.step.spec) && !b.starving(s.job.work.ID, s.step.spec) && !b.longDown(s.step, t, s.now)
 }
 
 // endsAt notes when a worker may be used that is excluded for a time.
--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -85,7 +85,7 @@
 		return SpreadReached
 	case spec.Filler && w.idle < spec.Size.MilliCores:
 		return InsufficientCapacity
-	case spec.Filler && !b.starving(t.key.Job) && b.interferenceCost(w, spec.Image, spec.Size.MilliCores) > maxInterferenceCost:
+	case b.interferes(w, spec) && !b.starving(t.key.Job, spec):
 		return Interfering
 	}
 	return NotExcluded
@@ -96,25 +96,39 @@
 	// to protect the tail latency of others, while utilization is low. Then one
 	// filler is placed where it interferes least, to be throttled there.
 	starvationTimeout = time.Second
+	// busyStarvationTimeout is the same while utilization is not low. Only fillers
+	// that run renew the estimates of interference, so one that is too high would
+	// keep a job waiting for good. It is also the least time between two fillers that
+	// a service takes so, as each costs others some of their speed.
+	busyStarvationTimeout = 3 * time.Second
 	// lowUtilizationBound is the allocated share of a service's cores below which
 	// its utilization is low: users expect work to progress while much capacity is
 	// free.
 	lowUtilizationBound = 0.65
 )
 
-// starving reports whether a job has had nothing running for too long.
-func (b *Board) starving(id string) bool {
-	if !b.anyLowUtilization {
-		return false // most decisions of a busy service end here, for each worker
-	}
+// starving reports whether a job with such a step has had nothing running for too long
+// and may be given a worker that it would otherwise not get.
+func (b *Board) starving(id string, spec *work.Step) bool {
 	j := b.open[id]
-	if j != nil && j.gangStarves {
-		return true
+	if j == nil {
+		return false
 	}
-	if j == nil || j.claims > 0 || b.now.Sub(j.idleSince) <= starvationTimeout {
+	idle := b.now.Sub(j.idleSince)
+	switch {
+	case j.gangStarves:
+		return true
+	case j.claims > 0 || idle <= starvationTimeout:
 		return false
 	}
-	return b.hasLowUtilization(b.serviceOf(j))
+	use := b.utilization[b.serviceOf(j)]
+	return use != nil && (use.low || spec.Filler && idle > busyStarvationTimeout && b.now.Sub(use.interferedAt) > busyStarvationTimeout)
+}
+
+// interferes reports whether a filler would take too much from serving tasks of the
+// worker.
+func (b *Board) interferes(w *workerState, spec *work.Step) bool {
+	return spec.Filler && b.interferenceCost(w, spec.Image, spec.Size.MilliCores) > maxInterferenceCost
 }
 
 // Weights of a worker's score. Each is well above the next, so that they decide
@@ -212,7 +226,7 @@
 	}
 	run, everClaimed, idleSince := b.nextRun(), j.everClaimed, j.idleSince
 	chosen := make([]*workerState, 0, len(step.tasks))
-	j.gangStarves = b.starving(j.work.ID)
+	j.gangStarves = b.starving(j.work.ID, step.spec)
 	defer func() { j.gangStarves = false }()
 	for _, t := range step.tasks {
 		w := b.chooseWorker(step, t, pool)
--- a/internal/process/schedule/claims.go
+++ b/internal/process/schedule/claims.go
@@ -106,6 +106,9 @@
 		held.suspicion = len(t.crashes)
 		b.markChanged(j) // the record charges the run in advance
 	}
+	if use := b.utilization[w.Service]; use != nil && b.interferes(w, step.spec) {
+		use.interferedAt = now
+	}
 	_, held.piece = b.reservations[t.key]
 	held.saved = t.saved
 	w.addClaim(t.key, held)
--- a/internal/process/schedule/decide.go
+++ b/internal/process/schedule/decide.go
@@ -59,12 +59,16 @@
 type utilization struct {
 	claimed, capacity int64
 	low               bool
+	// interferedAt is when a filler was last placed where it interferes.
+	interferedAt time.Time
 }
 
 // measureUtilization measures the utilization of each service.
 func (b *Board) measureUtilization() {
 	for _, use := range b.utilization {
-		*use = utilization{}
+		*use = utilization{
+			interferedAt: use.interferedAt,
+		}
 	}
 	last, use := "", (*utilization)(nil)
 	for _, w := range b.workers {
--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -86,7 +86,7 @@
 			return w
 		}
 	}
-	if shortages.rulesOut(step.spec) && !b.starving(t.key.Job) {
+	if shortages.rulesOut(step.spec) && !b.starving(t.key.Job, step.spec) {
 		return nil
 	}
 	w := b.chooseWorker(step, t, pool)
--- a/internal/process/schedule/down_test.go
+++ b/internal/process/schedule/down_test.go
@@ -294,7 +294,7 @@
 	poll(board, "w0", now)
 	board.now = now
 	board.measureUtilization()
-	require.True(t, board.starving("fill"))
+	require.True(t, board.starving("fill", step.spec))
 	found := newShortage()
 	found.record(step.spec)
 	assert.NotNil(t, board.restartWorker(step, step.tasks[0], []*workerState{board.workers["w0"]}, found))
--- a/internal/process/schedule/explainer.go
+++ b/internal/process/schedule/explainer.go
@@ -92,7 +92,7 @@
 		label:    step.spec.Label,
 		image:    step.spec.Image,
 		filler:   step.spec.Filler,
-		starving: step.spec.Filler && e.board.starving(j.work.ID),
+		starving: step.spec.Filler && e.board.starving(j.work.ID, step.spec),
 		longDown: e.board.longDown(step, t, e.now),
 	}
 }
--- a/internal/process/schedule/interference_test.go
+++ b/internal/process/schedule/interference_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -175,6 +176,41 @@
 	assert.Len(t, board.Decide(later, true).Starts, 1, "one, so that the job makes progress")
 }
 
+// Guards against jobs of fillers that wait for good in a busy service: the estimates which
+// exclude them from all workers are renewed only by fillers that run.
+func TestInterferingFillerIsNotStarvedInABusyService(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []string{"w0", "w1", "w2"}[:rapid.IntRange(1, 3).Draw(t, "workers")]
+		board := testBoard(ids...)
+		for at, id := range ids {
+			busy := servingClaim("quotes", 1.5, 1.5)
+			busy.size.MilliCores = board.workers[id].Capacity.MilliCores * 9 / 10
+			key := firstTask("s")
+			key.Index = at
+			board.workers[id].addClaim(key, busy)
+		}
+		setCoefficient(board, "quotes", "loud", rapid.Float64Range(5, maxCoefficient).Draw(t, "coefficient"))
+		jobs := rapid.IntRange(1, 5).Draw(t, "jobs")
+		for i := range jobs {
+			step := tasks(3, 1000)
+			step.Filler, step.Image = true, "loud"
+			board.AddJob(testJob(strconv.Itoa(i), "plans", step), nil, false, testStart, testStart)
+		}
+		now, newest, started := testStart, testStart, 0
+		for ; now.Before(testStart.Add(8 * busyStarvationTimeout)); now = now.Add(simulationStep) {
+			for _, id := range ids {
+				pollWithProgress(board, id, servingPercent, testTarget*2/3, now)
+			}
+			for range board.Decide(now, true).Starts {
+				assert.Greater(t, now.Sub(newest), busyStarvationTimeout, "start %d interferes", started)
+				newest = now
+				started++
+			}
+		}
+		assert.Equal(t, jobs, started, "one task of each job, as none ends")
+	})
+}
+
 // The longest tail latency of a worker may come from its own load. Checking
 // that serving task alone let a filler keep another one above its target for
 // four seconds.
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -169,7 +169,7 @@
 	}
 	urgent := b.urgent(j) && !step.spec.Filler
 	b.placeReturning(j, step, pool, now)
-	ruledOut := !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID)
+	ruledOut := !urgent && shortages.rulesOut(step.spec) && !b.starving(j.work.ID, step.spec)
 	if ruledOut && !step.spec.LongRunning {
 		return
 	}
