Report a returned task as waiting until it is taken back

Cause of the missing line, by reading: a task that another shard has returned is in the phase elsewhere until the commit that takes it back is answered, and the report of waits passes over that phase in the shard of its job; the other shard has forgotten it. While that commit fails, the task is down and nothing says so. Whether the task of the issue was in this state is not known.

A returned task is reported as down, reason departing, since the time that the other shard has recorded.

Failed before the fix: TestReturnedTaskIsDownUntilItIsTakenBack (no reason until the commit is answered).

Ruled out by reading: claims (each state has a reason), waiting tasks, tasks on their way out (departing), jobs that move.

--- a/internal/process/leader/transfers.go
+++ b/internal/process/leader/transfers.go
@@ -87,7 +87,7 @@
 			t.orphans = append(t.orphans, key)
 			continue
 		}
-		t.locate(key, stored)
+		t.locate(key, stored, now)
 	}
 	board.LocationsKnown()
 }
@@ -99,11 +99,12 @@
 	t.revisions[job][key] = revision
 }
 
-func (t *transfers) locate(key string, stored storedLocation) {
+func (t *transfers) locate(key string, stored storedLocation, now time.Time) {
 	t.note(stored.location.Key.Job, key, stored.revision)
 	t.term.leader.board.Locate(stored.location)
 	if stored.location.Shard == t.term.leader.config.Shard {
 		t.returned[key] = *stored.location
+		t.term.leader.board.Returned(stored.location, now)
 	}
 }
 
@@ -133,7 +134,7 @@
 	t.locate(item.Key, storedLocation{
 		location: location,
 		revision: item.Revision,
-	})
+	}, now)
 	if returned, ok := t.returned[item.Key]; ok {
 		t.takeBack(item.Key, returned, now)
 	}
--- a/internal/process/schedule/downtasks_test.go
+++ b/internal/process/schedule/downtasks_test.go
@@ -221,6 +221,46 @@
 	assert.True(t, unlisted.Ends())
 }
 
+// Guards against a task that is down without a line in any log: it has come back from
+// another shard, and the commit that takes it back has no effect yet (issue 42).
+func TestReturnedTaskIsDownUntilItIsTakenBack(t *testing.T) {
+	board := failedBoard(t)
+	now := testStart.Add(2 * transferAfter)
+	fill(board, "w1", 8000)
+	fill(board, "w2", 8000)
+	transfers := board.Transfers(0, loadsOf(now, board, testBoard("w3")), now)
+	require.Len(t, transfers, 1)
+	board.TransferDone(transfers[0])
+	reported := func() Reasons {
+		board.now = now
+		report := board.WaitReport(WaitRequest{
+			FollowsJob: followNone.FollowsJob,
+			MaxDown:    10,
+		}, now)
+		for _, down := range report.LongestDown {
+			assert.Equal(t, now.Add(-time.Second), down.Since)
+		}
+		return report.Down
+	}
+	assert.Zero(t, reported(), "the task is in another shard")
+	location := &work.Location{
+		Key:  taskKey("a", 1),
+		Down: time.Second,
+	}
+	board.Returned(location, now)
+	assert.Equal(t, Reasons{Departing: 1}, reported())
+	returned, ok := board.Returning(location, now)
+	require.True(t, ok)
+	assert.Equal(t, Reasons{Departing: 1}, reported(), "the commit is in flight")
+	board.TakenBack(returned, false, now)
+	assert.Equal(t, Reasons{Departing: 1}, reported(), "it had no effect")
+	returned, ok = board.Returning(location, now)
+	require.True(t, ok)
+	board.TakenBack(returned, true, now)
+	assert.Zero(t, reported()[Departing], "the task waits here")
+	assert.NotZero(t, reported())
+}
+
 // Guards against a task of which the log says that it is about to start, while each
 // decision ends its search for the step at a task before it.
 func TestTaskBehindAnEarlierOneIsPassedOver(t *testing.T) {
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -76,8 +76,10 @@
 	// when it last came from the shard of its job.
 	departing bool
 	arrivedAt time.Time
-	// shard is the one of a task that is elsewhere.
-	shard int
+	// shard is the one of a task that is elsewhere. returned is set once it has come
+	// back from there, until it is taken back.
+	shard    int
+	returned bool
 	// lastRun is no lower than the number of any run that another shard has started.
 	lastRun int64
 	// orphanedOn lists workers with orphaned runs of the task, which may have ended.
--- a/internal/process/schedule/reason.go
+++ b/internal/process/schedule/reason.go
@@ -12,7 +12,8 @@
 	// anything, and Superseded that a worker has seen a higher token.
 	LeadershipInDoubt
 	Superseded
-	// Departing jobs move to another shard, Balancing ones wait for a round of moves.
+	// Departing jobs and tasks move to another shard or back, Balancing jobs wait for a
+	// round of moves.
 	Departing
 	Balancing
 	// Takeover means that an earlier leader may have started the task on a worker
--- a/internal/process/schedule/transferred.go
+++ b/internal/process/schedule/transferred.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// Returned records that a task has come back to the shard of its job, in which nothing
+// starts it until it is taken back.
+func (b *Board) Returned(location *work.Location, now time.Time) {
+	j := b.jobs[location.Key.Job]
+	if j == nil || j.partial {
+		return
+	}
+	_, _, t := j.find(location.Key)
+	if t == nil || t.returned {
+		return
+	}
+	t.returned = true
+	if location.Down > 0 {
+		t.endedAt, t.downSince = now.Add(-location.Down), now.Add(-location.Down)
+	}
+}
+
 // LocationsKnown says that Locate was called for every task that is in another shard.
 func (b *Board) LocationsKnown() {
 	for _, j := range b.open {
@@ -162,7 +179,7 @@
 	if !done {
 		return
 	}
-	t.phase = waiting
+	t.phase, t.returned = waiting, false
 	step.waiting++
 	t.located, t.lastWorkers, j.hasLocated = true, nil, true
 	b.Written(j.work.ID, returned.Version, true)
--- a/internal/process/schedule/waiting.go
+++ b/internal/process/schedule/waiting.go
@@ -119,17 +119,20 @@
 	waits := false
 	var ended *task // at which the search for the step ends
 	for _, t := range step.tasks {
-		if t.phase == done || t.phase == elsewhere {
+		if t.phase == done || t.phase == elsewhere && !t.returned {
 			continue
 		}
 		var next cause
-		if t.phase == claimed {
+		switch t.phase {
+		case elsewhere:
+			next.reason = Departing
+		case claimed:
 			runs := false
 			if next, runs = e.claimCause(j, t); runs {
 				found.runs = true
 				continue
 			}
-		} else {
+		default:
 			next = placing.of(t)
 			next = placing.afterSearch(ended, next)
 			if ended == nil && placing.endsSearch(t, next) {
