Search for workers of starving fillers once in three seconds

If it fits nowhere, for example for want of memory, each decision searches all workers for each such job; the limit of one in 3 s held for those that were placed only.

A job that has found no worker is searched for again after busyStarvationTimeout.

Failed before the fix: TestSearchesForStarvingFillersAreFew (89 searches in 12 s, bound 4).

--- a/internal/process/schedule/choose.go
+++ b/internal/process/schedule/choose.go
@@ -122,7 +122,22 @@
 		return false
 	}
 	use := b.utilization[b.serviceOf(j)]
-	return use != nil && (use.low || spec.Filler && idle > busyStarvationTimeout && b.now.Sub(use.interferedAt) > busyStarvationTimeout)
+	switch {
+	case use == nil:
+		return false
+	case use.low:
+		return true
+	}
+	last := latestOf(use.interferedAt, j.triedAt)
+	return spec.Filler && idle > busyStarvationTimeout && b.now.Sub(last) > busyStarvationTimeout
+}
+
+// noteTrial notes that a starving job has found no worker. In a busy service it is
+// starving again after busyStarvationTimeout: the search goes through all workers.
+func (b *Board) noteTrial(j *job, spec *work.Step) {
+	if spec.Filler && b.starving(j.work.ID, spec) {
+		j.triedAt = b.now
+	}
 }
 
 // interferes reports whether a filler would take too much from serving tasks of the
--- a/internal/process/schedule/down.go
+++ b/internal/process/schedule/down.go
@@ -92,6 +92,7 @@
 	w := b.chooseWorker(step, t, pool)
 	if w == nil {
 		shortages.record(step.spec)
+		b.noteTrial(b.open[t.key.Job], step.spec)
 	}
 	return w
 }
--- a/internal/process/schedule/interference_test.go
+++ b/internal/process/schedule/interference_test.go
@@ -211,6 +211,31 @@
 	})
 }
 
+// Guards against a leader that searches all workers for each job of fillers that waits, in
+// every decision: those that find none are tried again once in busyStarvationTimeout.
+func TestSearchesForStarvingFillersAreFew(t *testing.T) {
+	const periods = 4
+	board := testBoard("w0")
+	busy := servingClaim("quotes", 1.5, 1.5)
+	busy.size.MilliCores = 7000
+	board.workers["w0"].addClaim(firstTask("s"), busy)
+	step := tasks(1, 9000) // more than there is
+	step.Filler, step.Image = true, "loud"
+	board.AddJob(testJob("a", "plans", step), nil, false, testStart, testStart)
+	searches := 0
+	for now := testStart; now.Before(testStart.Add(periods * busyStarvationTimeout)); now = now.Add(simulationStep) {
+		pollWithProgress(board, "w0", servingPercent, testTarget*2/3, now)
+		board.now = now
+		board.measureUtilization()
+		if board.starving("a", &board.jobs["a"].work.Steps[0]) {
+			searches++
+		}
+		assert.Empty(t, board.Decide(now, true).Starts)
+	}
+	assert.Positive(t, searches)
+	assert.LessOrEqual(t, searches, periods)
+}
+
 // The longest tail latency of a worker may come from its own load. Checking
 // that serving task alone let a filler keep another one above its target for
 // four seconds.
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -154,6 +154,8 @@
 	// zero.
 	claims    int
 	idleSince time.Time
+	// triedAt is when the job was starving in a busy service and found no worker.
+	triedAt time.Time
 	// gangStarves is set while a gang of the job is placed that had starved before:
 	// the claims of its first members do not end that.
 	gangStarves bool
--- a/internal/process/schedule/place.go
+++ b/internal/process/schedule/place.go
@@ -196,6 +196,7 @@
 		default:
 			shortages.lacking = true
 			shortages.record(step.spec)
+			b.noteTrial(j, step.spec)
 			if !step.spec.LongRunning || !t.endedAt.IsZero() {
 				return
 			}
