--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -145,24 +145,28 @@
 		store:   standin.NewMemory(time.Now),
 		workers: newFakeWorkers(),
 	}
-	for index, id := range []string{"w0", "w1"} {
-		value, err := cbor.Marshal(schedule.Listing{
-			ID:      id,
-			Address: netip.MustParseAddrPort("127.0.0.1:1"),
-			Zone:    "recife",
-			Rack:    fmt.Sprintf("r%d", index),
-			Labels:  []string{fmt.Sprintf("r%d", index)},
-			Service: "workshop",
-			Capacity: worker.Size{
-				MilliCores: 4000,
-			},
-		})
-		require.NoError(t, err)
-		s.put("workers/"+id, value)
-	}
+	s.addWorker(0)
+	s.addWorker(1)
 	return s
 }
 
+// addWorker lists a worker, each in a rack of its own.
+func (s *site) addWorker(index int) {
+	value, err := cbor.Marshal(schedule.Listing{
+		ID:      fmt.Sprintf("w%d", index),
+		Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		Zone:    "recife",
+		Rack:    fmt.Sprintf("r%d", index),
+		Labels:  []string{fmt.Sprintf("r%d", index)},
+		Service: "workshop",
+		Capacity: worker.Size{
+			MilliCores: 4000,
+		},
+	})
+	require.NoError(s.t, err)
+	s.put(fmt.Sprintf("workers/w%d", index), value)
+}
+
 func (s *site) put(key string, value []byte) {
 	_, err := s.store.Client().Commit(context.Background(), store.Commit{
 		Set: []store.Write{
--- a/internal/process/leader/moves_test.go
+++ b/internal/process/leader/moves_test.go
@@ -93,9 +93,13 @@
 
 // cancelWhereItIs writes a cancellation beside the job's record, as a host does.
 func (s *site) cancelWhereItIs(id string) {
+	s.cancelAmong(2, id)
+}
+
+func (s *site) cancelAmong(shards int, id string) {
 	require.Eventually(s.t, func() bool {
-		for number := range 2 {
-			keys := KeysOf(number, 2)
+		for number := range shards {
+			keys := KeysOf(number, shards)
 			item, err := s.store.Client().Get(s.t.Context(), keys.Job(id))
 			if err != nil {
 				continue
--- a/internal/process/leader/transfers_test.go
+++ b/internal/process/leader/transfers_test.go
@@ -166,13 +166,18 @@
 
 // submitRunning submits the job of the task to shard 0. It takes a whole worker.
 func (s *transferSite) submitRunning() {
+	s.submitTasks(KeysOf(0, 2), 1)
+}
+
+// submitTasks submits the job with tasks that take a whole worker each.
+func (s *transferSite) submitTasks(keys Keys, count int) {
 	value, err := work.EncodeJob(&work.Job{
 		ID:      s.task.Job,
 		Queue:   "quotes",
 		Service: "workshop",
 		Steps: []work.Step{
 			{
-				Count:       1,
+				Count:       count,
 				LongRunning: true,
 				Checkpoints: true,
 				Size: worker.Size{
@@ -183,7 +188,7 @@
 		Accepted: time.Now(),
 	})
 	require.NoError(s.t, err)
-	s.put(KeysOf(0, 2).Job(s.task.Job), value)
+	s.put(keys.Job(s.task.Job), value)
 }
 
 // drain marks a worker as draining or not, so that it is given nothing new.
--- a/internal/process/leader/transfersequences_test.go
+++ b/internal/process/leader/transfersequences_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -13,12 +12,9 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"mustardreach.example/mustardreach/internal/connection/worker"
-	"mustardreach.example/mustardreach/internal/process/schedule"
 	"mustardreach.example/mustardreach/internal/process/shard"
 	"mustardreach.example/mustardreach/internal/process/store"
 	"mustardreach.example/mustardreach/internal/request/work"
@@ -27,7 +23,6 @@
 const (
 	sequenceShards = 3
 	sequenceSteps  = 12
-	sequenceJob    = "a"
 	sequenceTasks  = 2
 )
 
@@ -36,7 +31,8 @@
 type transferSequence struct {
 	*transferSite
 	random *rand.Rand
-	// mu guards faulty, the random outcome of the next commits.
+	// mu guards random and faulty, which returns what the next commit fails with, if at
+	// all. It is nil while there are no faults.
 	mu     sync.Mutex
 	faulty func() error
 	// hosts are those that run, the newest last, and made counts all.
@@ -56,38 +52,8 @@
 		transferSite: newTransferSite(t),
 		random:       rand.New(rand.NewPCG(seed, 1)),
 	}
-	for number := range sequenceShards {
-		value, err := cbor.Marshal(schedule.Listing{
-			ID:      s.workerOf(number),
-			Address: netip.MustParseAddrPort("127.0.0.1:1"),
-			Zone:    "recife",
-			Rack:    fmt.Sprintf("r%d", number),
-			Service: "workshop",
-			Capacity: worker.Size{
-				MilliCores: 4000,
-			},
-		})
-		require.NoError(t, err)
-		s.put("workers/"+s.workerOf(number), value)
-	}
-	value, err := work.EncodeJob(&work.Job{
-		ID:      sequenceJob,
-		Queue:   "quotes",
-		Service: "workshop",
-		Steps: []work.Step{
-			{
-				Count:       sequenceTasks,
-				LongRunning: true,
-				Checkpoints: true,
-				Size: worker.Size{
-					MilliCores: 4000,
-				},
-			},
-		},
-		Accepted: time.Now(),
-	})
-	require.NoError(t, err)
-	s.put(KeysOf(0, sequenceShards).Job(sequenceJob), value)
+	s.addWorker(sequenceShards - 1)
+	s.submitTasks(KeysOf(0, sequenceShards), sequenceTasks)
 	return s
 }
 
@@ -153,7 +119,7 @@
 	return s.random.IntN(count)
 }
 
-// setFaults makes one commit in some fail in a random way, or none if that is zero.
+// setFaults makes one commit in so many fail, in a random way, or none if that is zero.
 func (s *transferSequence) setFaults(oneIn int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -208,7 +174,7 @@
 func (s *transferSequence) tasks() (keys []work.TaskKey) {
 	for index := range sequenceTasks {
 		keys = append(keys, work.TaskKey{
-			Job:   sequenceJob,
+			Job:   s.task.Job,
 			Index: index,
 		})
 	}
@@ -264,30 +230,6 @@
 	return out
 }
 
-// cancel writes a cancellation beside the job's record, wherever that is.
-func (s *transferSequence) cancel() {
-	require.Eventually(s.t, func() bool {
-		for number := range sequenceShards {
-			keys := KeysOf(number, sequenceShards)
-			item, err := s.store.Client().Get(s.t.Context(), keys.Job(sequenceJob))
-			if err != nil {
-				continue
-			}
-			_, err = s.store.Client().Commit(s.t.Context(), store.Commit{
-				If: []store.Condition{{
-					Key:      item.Key,
-					Revision: item.Revision,
-				}},
-				Set: []store.Write{{
-					Key: keys.Cancel(sequenceJob),
-				}},
-			})
-			return err == nil
-		}
-		return false
-	}, waitTimeout, 5*time.Millisecond)
-}
-
 // requireStopped checks that no task runs, now and after late commits.
 func (s *transferSequence) requireStopped() {
 	runs := func() bool {
@@ -310,7 +252,7 @@
 			cancelAt := s.pick(3 * sequenceSteps) // in a third of the sequences
 			for step := range sequenceSteps {
 				if step == cancelAt {
-					s.cancel()
+					s.cancelAmong(sequenceShards, s.task.Job)
 					s.happened = append(s.happened, "the job is cancelled")
 				}
 				s.happened = append(s.happened, s.step())
