Keep callers' connections and their requests within a budget

Callers saw: clients that stop short of the end of a body or header, stay open, or do not read their answers ended a host (out of memory) or left it without descriptors, so that it answered nobody for up to a minute.

Cause: nothing counted what all connections hold together. A body was read whole with no limit of time; headers had the limit of net/http (1 MiB) instead of the operators' max_header_bytes, header_timeout_ms and idle_timeout_ms, which were not read at all; connections, their kernel buffers and unread answers had no limit.

Evidence: platform/crowd on, 128 MB and 512 descriptors: 26 of 27 cases failed, from 140 MB to over 1 GB and up to 1174 descriptors. The new cases with 4,100 descriptors: 9 of 12 failed there.

Change: internal/connection/budget counts connections and the memory of requests, and grants both; internal/connection/listener serves HTTP within it, for callers and, with small budgets of their own, at the readiness and the metrics address. A body is received piece by piece, by the caller's deadline; memory for decoding it and handing it on is taken before. If the budget is used up, the connection that waited longest for a request gives way, or else the one that held most for longest without progress; only then a new one is refused, at once. A quarter of the memory is for small requests; one large body is decoded at a time. The operators' limits are in force from the next request on. Refusals are counted by reason and logged once a second at most. Calls with a wrong key are logged in the same way, at level 0 now, since the number of lines is bounded.

Result: all cases of platform/crowd pass: at most 106 MB and, with 512 descriptors, 105. The crowd's memory is now measured with the kernel's own peak besides the samples, which is stricter.

TestRequestsInProgressAreFinished moves from platform/ to the listener's package.

Ruled out: taking memory by the length that a header states, which lets lengths that never come starve those that send; replacing the http.Server when limits change, which closes connections of ordinary callers.

--- a/internal/version/catalog/catalog.go
+++ b/internal/version/catalog/catalog.go
@@ -72,8 +72,8 @@
 	// Organisations holds the organisations by name, Keys their keys.
 	Organisations map[string]Organisation
 	Keys          Keys
-	// MaxBodyBytes limits the size of a caller's request body.
-	MaxBodyBytes int64
+	// Limits bound what a caller may send.
+	Limits Limits
 }
 
 // Authenticate returns the organisation that a key belongs to, and whether there
