Grant hosts room for the jobs that they accept

Callers saw: callers that submit valid jobs one after the other end the host that leads, and each successor: 60 bytes of JSON are a job of 20,000 tasks.

Cause: nothing bounded what the jobs of all callers need at the leader. A host accepts a job by writing it to the store, without knowing what the leader holds.

It starts with 1 MiB, so that ordinary jobs are accepted while there is no leader.

Ruled out: counting jobs, since one can be 20,000 tasks; a limit at each host alone, which is either too small for one or too large for all.

--- a/internal/connection/inquiry/inquiry.go
+++ b/internal/connection/inquiry/inquiry.go
@@ -116,12 +116,14 @@
 	case "":
 		return leader.Answer{}
 	case c.config.Host:
+		question.Host = c.config.Host
 		c.config.Answer(question, func(answer leader.Answer) { result <- answer })
 	default:
 		err := c.config.Hub.Send(target.Host, message.KindQuestion, message.Question{
 			Number: number,
 			Job:    question.Job,
 			Queue:  question.Queue,
+			Room:   question.Room,
 			Shard:  question.Shard,
 			Report: c.report(),
 		})
@@ -224,12 +226,14 @@
 			Reached:    report.Reached,
 		})
 	}
-	if question.Job == "" && question.Queue == "" {
+	if question.Job == "" && question.Queue == "" && question.Room <= 0 {
 		return
 	}
 	c.config.Answer(leader.Question{
 		Job:   question.Job,
 		Queue: question.Queue,
+		Room:  question.Room,
+		Host:  host,
 		Shard: question.Shard,
 	}, func(answer leader.Answer) {
 		err := c.config.Hub.Send(host, message.KindAnswer, message.Answer{
@@ -239,6 +243,7 @@
 			Pending:      answer.Pending,
 			OwnerKnown:   answer.OwnerKnown,
 			Organisation: answer.Organisation,
+			Room:         answer.Room,
 		})
 		if err != nil {
 			klog.InfoS("answer not sent", "host", host, "job", question.Job, "err", err)
@@ -262,6 +267,7 @@
 		Pending:      answer.Pending,
 		OwnerKnown:   answer.OwnerKnown,
 		Organisation: answer.Organisation,
+		Room:         answer.Room,
 	}:
 	default:
 	}
--- a/internal/connection/message/message.go
+++ b/internal/connection/message/message.go
@@ -203,6 +203,9 @@
 	Report *HostReport `cbor:"5,keyasint,omitempty"`
 	// Probe is sent by a leader and asks which workers the receiver reaches.
 	Probe *Probe `cbor:"6,keyasint,omitempty"`
+	// Room asks for memory for jobs, in bytes. A leader of an earlier release takes
+	// the question for a report and does not answer it.
+	Room int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Probe asks which workers a host reaches; a HostReport answers it.
@@ -237,6 +240,8 @@
 	// leader of an earlier release sends neither.
 	OwnerKnown   bool   `cbor:"5,keyasint,omitempty"`
 	Organisation string `cbor:"6,keyasint,omitempty"`
+	// Room is the memory granted for jobs, in bytes.
+	Room int64 `cbor:"7,keyasint,omitempty"`
 }
 
 var (
--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -89,6 +89,8 @@
 	Duties *Duties
 	Calls  Calls
 	Board  schedule.Config
+	// JobBytes is the memory for all jobs of the shard; zero means no limit.
+	JobBytes int64
 	// WorkersPrefix is the key prefix of the list of workers; Worker decodes an
 	// entry of it. Owns reports whether a worker belongs to the shard.
 	WorkersPrefix string
--- a/internal/process/leader/group.go
+++ b/internal/process/leader/group.go
@@ -21,7 +21,8 @@
 // GroupConfig configures a Group.
 type GroupConfig struct {
 	// Leader is the configuration that the Leaders of all shards share; its
-	// Shard, Shards, Keys, Duties, Owns and LeaderChanged are set by the Group.
+	// JobBytes is for all of them. Shard, Shards, Keys, Duties, Owns and
+	// LeaderChanged are set by the Group.
 	Leader Config
 	Layout shard.Layout
 	// LeaderChanged is called with the new leader of a shard when it changes;
@@ -48,6 +49,7 @@
 		each := group.config.Leader
 		each.Shard, each.Shards = number, config.Layout.Shards
 		each.UsualShard = config.Layout.OfJob
+		each.JobBytes = group.config.Leader.JobBytes / int64(config.Layout.Shards)
 		each.Keys = KeysOf(number, config.Layout.Shards)
 		each.Board.HoldsLongRunning = config.Layout.Shards > 1
 		each.Board.Shard, each.Board.Shards = number, config.Layout.Shards
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -197,8 +197,12 @@
 // Question is a query to the leader on behalf of a caller.
 type Question struct {
 	// Job asks for the state of a job, Queue for the number of a queue's jobs
-	// that have not started. One of them is set.
+	// that have not started, Room for memory for jobs that the host is about to
+	// accept, in bytes. One of them is set.
 	Job, Queue string
+	Room       int64
+	// Host is the host that asks.
+	Host string
 	// Shard is the shard that is asked.
 	Shard int
 }
@@ -213,6 +217,9 @@
 	// leader of an earlier release does not know it.
 	OwnerKnown   bool
 	Organisation string
+	// Room is the memory that the host may use for jobs that it accepts, at least
+	// as much as it asked for; zero if there is not as much.
+	Room int64
 }
 
 // Ask answers a question if this host leads the shard. It calls reply once, with the zero
@@ -230,6 +237,12 @@
 	if l.term == nil || !l.term.ready {
 		return Answer{}
 	}
+	if question.Room > 0 {
+		return Answer{
+			Known: true,
+			Room:  l.term.room.grant(question.Host, question.Room, l.board.Bytes(), l.config.Clock()),
+		}
+	}
 	if question.Queue != "" {
 		return Answer{
 			Known:   true,
--- a/internal/process/leader/observe.go
+++ b/internal/process/leader/observe.go
@@ -136,7 +136,9 @@
 	t.moves.revisions[job.ID] = item.Revision
 	t.owners.add(job)
 	klog.InfoS("job seen", "job", job.ID, "queue", job.Queue, "revision", item.Revision)
+	before := t.leader.board.Bytes()
 	t.leader.board.AddJob(job, nil, item.CreateRevision < t.firstToken, now, t.leader.config.TimeOfDay())
+	t.room.seen(t.leader.board.Bytes() - before)
 	if t.bars.covers(job) {
 		klog.InfoS("job cancelled", "job", job.ID, "revision", item.Revision, "cause", "cancelled_before")
 		t.leader.board.Cancel(job.ID, now)
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -9,6 +9,8 @@
 
 // term is one period of leadership of this host. It is used only by the loop.
 type term struct {
+	// room grants memory for jobs to the hosts that accept them.
+	room   room
 	leader *Leader
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -106,6 +108,7 @@
 		owners:       owners{},
 		bars:         bars{},
 		workRevision: result.revision,
+		room:         newRoom(l.config.JobBytes),
 	}
 	t.writer = writer{
 		term:     t,
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -76,6 +76,8 @@
 	fenced bool
 
 	jobs map[string]*job
+	// bytes estimates the memory of jobs.
+	bytes int64
 	// open holds the jobs that are not in a final state.
 	open    map[string]*job
 	workers map[string]*workerState
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -206,7 +206,7 @@
 	b.joinOrganisation(j)
 	j.objective = b.objective(j)
 	b.estimates.recordWork(spec.Queue, b.totalWork(j))
-	b.jobs[spec.ID] = j
+	b.keepJob(j)
 	if j.progress.State.Final() {
 		j.ended = now
 		return
--- a/internal/process/schedule/moves.go
+++ b/internal/process/schedule/moves.go
@@ -267,7 +267,7 @@
 // Departed drops a job that belongs to another shard now.
 func (b *Board) Departed(id string) {
 	if j := b.jobs[id]; j != nil && j.departing {
-		delete(b.jobs, id)
+		b.dropJob(id)
 		delete(b.open, id)
 		delete(b.unsaved, id)
 	}
--- a/internal/process/schedule/records.go
+++ b/internal/process/schedule/records.go
@@ -106,7 +106,7 @@
 
 // Forget drops a job whose records are gone from the store.
 func (b *Board) Forget(id string) {
-	delete(b.jobs, id)
+	b.dropJob(id)
 }
 
 // Ended reports whether a job is known and in a final state.
--- a/internal/process/schedule/transfer.go
+++ b/internal/process/schedule/transfer.go
@@ -208,7 +208,7 @@
 	step.waiting--
 	j.transfers--
 	if transfer.Last && !j.progress.State.Final() && j.count(elsewhere) == j.count() {
-		delete(b.jobs, j.work.ID)
+		b.dropJob(j.work.ID)
 		delete(b.open, j.work.ID)
 		delete(b.unsaved, j.work.ID)
 		b.dropEndsOf(j.work.ID)
--- a/internal/process/schedule/transferred.go
+++ b/internal/process/schedule/transferred.go
@@ -62,7 +62,7 @@
 	}
 	b.joinOrganisation(j)
 	j.objective = b.objective(j)
-	b.jobs[spec.ID] = j
+	b.keepJob(j)
 	if j.progress.State.Final() {
 		j.ended = now
 	} else {
--- a/internal/request/intake/home.go
+++ b/internal/request/intake/home.go
@@ -34,10 +34,7 @@
 // any other one must be absent.
 func (i *Intake) submission(job *work.Job, value []byte, barred store.Item) store.Commit {
 	usual := i.homeOf(i.config.Layout.OfJob(job.ID))
-	chosen := usual
-	if rack := rackOf(job); rack != "" {
-		chosen = i.homeOf(i.config.Layout.OfRack(rack))
-	}
+	chosen := i.homeOf(i.shardFor(job))
 	commit := store.Commit{
 		If: append(i.absence(usual, job.ID), store.Condition{
 			Key:      usual.keys.Cancel(job.ID),
@@ -62,6 +59,14 @@
 	return commit
 }
 
+// shardFor returns the shard that a new job goes to.
+func (i *Intake) shardFor(job *work.Job) int {
+	if rack := rackOf(job); rack != "" {
+		return i.config.Layout.OfRack(rack)
+	}
+	return i.config.Layout.OfJob(job.ID)
+}
+
 // rackOf returns the rack that holds data of the job; empty if none is named.
 func rackOf(job *work.Job) string {
 	for _, step := range job.Steps {
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -43,9 +43,12 @@
 	// CancelledBefore means that the caller has cancelled the job of a submission
 	// before. The submission has had no effect.
 	CancelledBefore
+	// NoRoom means that the leader has no memory for the job of a submission, or none
+	// is known. The submission has had no effect and never will.
+	NoRoom
 )
 
-var outcomeNames = [...]string{"taken", "not_taken", "unknown", "no_such_job", "id_in_use", "cancelled_before"}
+var outcomeNames = [...]string{"taken", "not_taken", "unknown", "no_such_job", "id_in_use", "cancelled_before", "no_room"}
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string {
@@ -75,6 +78,8 @@
 	config Config
 	// pending holds the newest counts of the leaders.
 	pending *pendingCounts
+	// rooms holds what the leaders have granted for jobs.
+	rooms *rooms
 	// bars limits the cancellations of unknown jobs.
 	bars *rate.Limiter
 }
@@ -84,6 +89,7 @@
 	return &Intake{
 		config:  config,
 		pending: newPendingCounts(config.Layout.Shards),
+		rooms:   newRooms(config.Layout.Shards),
 		bars:    rate.NewLimiter(barsPerSecond, barBurst),
 	}
 }
@@ -119,6 +125,9 @@
 }
 
 func (i *Intake) submit(ctx context.Context, access Access, job *work.Job) (Outcome, int64, error) {
+	if outcome, stored := i.reserve(ctx, access, job); stored || outcome != Accepted {
+		return outcome, 0, nil
+	}
 	value, err := work.EncodeJob(job)
 	if err != nil {
 		return NotAccepted, 0, err
--- /dev/null
+++ b/internal/request/intake/room.go
@@ -0,0 +1,131 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"mustardreach.example/mustardreach/internal/process/leader"
+	"mustardreach.example/mustardreach/internal/process/store"
+	"mustardreach.example/mustardreach/internal/request/work"
+)
+
+// initialRoom is what a host may accept before it has asked a leader, and while
+// there is none: some hundred ordinary jobs.
+const initialRoom = 1 << 20
+
+// rooms is the memory that the leaders have granted this host for jobs that it
+// accepts, by shard. It is safe for concurrent use.
+type rooms struct {
+	mu     sync.Mutex
+	shards []shardRoom
+}
+
+type shardRoom struct {
+	// left is what is granted and not used, granted what was left after the last
+	// grant.
+	left, granted int64
+	// asking is set while more is asked for in the background.
+	asking bool
+}
+
+func newRooms(shards int) *rooms {
+	r := &rooms{
+		shards: make([]shardRoom, shards),
+	}
+	for number := range r.shards {
+		r.shards[number].left = initialRoom
+	}
+	return r
+}
+
+// use uses granted memory. It returns false if there is not enough, and low if
+// more should be asked for; the caller then asks and calls add.
+func (r *rooms) use(number int, bytes int64) (ok, low bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	room := &r.shards[number]
+	if room.left < bytes {
+		return false, false
+	}
+	room.left -= bytes
+	low = room.left < max(room.granted, initialRoom)/2 && !room.asking
+	room.asking = room.asking || low
+	return true, low
+}
+
+// add adds granted memory, of which used is used already.
+func (r *rooms) add(number int, granted, used int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	room := &r.shards[number]
+	room.left += granted - used
+	room.granted = room.left
+}
+
+func (r *rooms) endAsking(number int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shards[number].asking = false
+}
+
+// roomRequest asks the leader of a shard for more memory in the background.
+type roomRequest struct {
+	intake *Intake
+	shard  int
+}
+
+func (r *roomRequest) run() {
+	defer r.intake.rooms.endAsking(r.shard)
+	answer := r.intake.config.Ask(context.Background(), leader.Question{
+		Room:  1,
+		Shard: r.shard,
+	})
+	if answer.Known {
+		r.intake.rooms.add(r.shard, answer.Room, 0)
+	}
+}
+
+// reserve reserves memory of the leader for a job. It returns Accepted if there is
+// enough or if the job is stored already, and NoRoom if the job is certainly not.
+func (i *Intake) reserve(ctx context.Context, access Access, job *work.Job) (outcome Outcome, stored bool) {
+	number, bytes := i.shardFor(job), job.Bytes()
+	ok, low := i.rooms.use(number, bytes)
+	if low {
+		request := &roomRequest{
+			intake: i,
+			shard:  number,
+		}
+		go request.run()
+	}
+	if ok {
+		return Accepted, false
+	}
+	answer := i.config.Ask(ctx, leader.Question{
+		Room:  bytes,
+		Shard: number,
+	})
+	if answer.Known && answer.Room >= bytes {
+		i.rooms.add(number, answer.Room, bytes)
+		return Accepted, false
+	}
+	outcome = i.Existing(ctx, access, job.ID)
+	return outcome, outcome == Accepted
+}
+
+// Existing returns Accepted if a job of the caller with that id is stored, and
+// NoRoom if there is none: a submission that was not passed on may be refused then.
+func (i *Intake) Existing(ctx context.Context, access Access, id string) Outcome {
+	item, _, err := i.find(ctx, id)
+	switch {
+	case errors.Is(err, store.ErrAbsent):
+		return NoRoom
+	case err != nil:
+		return Unknown
+	}
+	outcome := i.accessTo(item, access, id)
+	if outcome == NoSuchJob {
+		return IDInUse
+	}
+	return outcome
+}
