--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -89,7 +89,7 @@
 	return &Intake{
 		config:  config,
 		pending: newPendingCounts(config.Layout.Shards),
-		rooms:   newRooms(config.Layout.Shards),
+		rooms:   newRooms(),
 		bars:    rate.NewLimiter(barsPerSecond, barBurst),
 	}
 }
--- a/internal/request/intake/room.go
+++ b/internal/request/intake/room.go
@@ -17,8 +17,9 @@
 // rooms is the memory that the leaders have granted this host for jobs that it
 // accepts, by shard. It is safe for concurrent use.
 type rooms struct {
-	mu     sync.Mutex
-	shards []shardRoom
+	mu sync.Mutex
+	// shards is keyed by shard.
+	shards map[int]*shardRoom
 }
 
 type shardRoom struct {
@@ -29,14 +30,22 @@
 	asking bool
 }
 
-func newRooms(shards int) *rooms {
-	r := &rooms{
-		shards: make([]shardRoom, shards),
+func newRooms() *rooms {
+	return &rooms{
+		shards: map[int]*shardRoom{},
 	}
-	for number := range r.shards {
-		r.shards[number].left = initialRoom
+}
+
+// of returns the room of a shard.
+func (r *rooms) of(number int) *shardRoom {
+	room := r.shards[number]
+	if room == nil {
+		room = &shardRoom{
+			left: initialRoom,
+		}
+		r.shards[number] = room
 	}
-	return r
+	return room
 }
 
 // use uses granted memory. It returns false if there is not enough, and low if
@@ -44,7 +53,7 @@
 func (r *rooms) use(number int, bytes int64) (ok, low bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	room := &r.shards[number]
+	room := r.of(number)
 	if room.left < bytes {
 		return false, false
 	}
@@ -58,7 +67,7 @@
 func (r *rooms) add(number int, granted, used int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	room := &r.shards[number]
+	room := r.of(number)
 	room.left += granted - used
 	room.granted = room.left
 }
@@ -66,7 +75,7 @@
 func (r *rooms) endAsking(number int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.shards[number].asking = false
+	r.of(number).asking = false
 }
 
 // roomRequest asks the leader of a shard for more memory in the background.
--- a/internal/request/intake/room_test.go
+++ b/internal/request/intake/room_test.go
@@ -14,15 +14,14 @@
 )
 
 // largeJob needs more than initialRoom.
-func largeJob(id string) *work.Job {
+func largeJob() *work.Job {
 	job := testJob()
-	job.ID = id
 	job.Steps[0].Count = 1 + initialRoom/work.TaskBytes
 	return job
 }
 
 func TestRoomForJobs(t *testing.T) {
-	large := largeJob("a").Bytes()
+	large := largeJob().Bytes()
 	tests := map[string]struct {
 		job    *work.Job
 		answer leader.Answer
@@ -37,7 +36,7 @@
 			want: Accepted,
 		},
 		"large job, room": {
-			job: largeJob("a"),
+			job: largeJob(),
 			answer: leader.Answer{
 				Known: true,
 				Room:  large,
@@ -46,7 +45,7 @@
 			wantAsked: 1,
 		},
 		"large job, no room": {
-			job: largeJob("a"),
+			job: largeJob(),
 			answer: leader.Answer{
 				Known: true,
 			},
@@ -54,12 +53,12 @@
 			wantAsked: 1,
 		},
 		"large job, no leader": {
-			job:       largeJob("a"),
+			job:       largeJob(),
 			want:      NoRoom,
 			wantAsked: 1,
 		},
 		"stored by an earlier attempt, no room": {
-			job: largeJob("a"),
+			job: largeJob(),
 			answer: leader.Answer{
 				Known: true,
 			},
@@ -68,7 +67,7 @@
 			wantAsked: 1,
 		},
 		"no room, and not known whether it is stored": {
-			job:       largeJob("a"),
+			job:       largeJob(),
 			down:      true,
 			want:      Unknown,
 			wantAsked: 1,
@@ -107,7 +106,7 @@
 
 // A host asks for more before its room is used up, and once at a time.
 func TestRoomIsAskedForInTime(t *testing.T) {
-	r := newRooms(1)
+	r := newRooms()
 	ok, low := r.use(0, initialRoom/2)
 	assert.True(t, ok)
 	assert.False(t, low)
