Serve the product's own interface within the same budget

Cause: its server had limits of time, but bodies were read whole without a common limit, and connections had none. A body that retries need stays in memory.

Change: the callers' and the operators' server use internal/connection/listener. The settings host.memory_mb (512) and host.descriptors (4096) say what the process may use. A body that is too slow is answered 408, one without memory 503 with Retry-After, and both say that nothing has run; a body that was cut off is no longer answered 413 by the ledger.

Ruled out: streaming a request to a back end without keeping it, as a retry or a hedge needs it again.

--- a/internal/connection/budget/share.go
+++ b/internal/connection/budget/share.go
@@ -54,12 +54,12 @@
 }
 
 // ForProbes returns the configuration, without functions, of the budget of an
-// address that only operators and the platform call.
+// address that only operators and the platform call. Its memory has room for a few
+// release notes.
 func ForProbes() Config {
-	const connections = 32
 	return Config{
-		Connections:   connections,
-		Bytes:         connections * progressBytes,
+		Connections:   32,
+		Bytes:         4 << 20,
 		StallTime:     stallTime,
 		ProgressBytes: progressBytes,
 	}
--- a/internal/connection/listener/body.go
+++ b/internal/connection/listener/body.go
@@ -161,6 +161,18 @@
 	return nil
 }
 
+// Bytes returns the bytes in one piece, for which it takes memory until the end of
+// the context. Errors: ErrNoMemory.
+func (b *Body) Bytes(ctx context.Context) ([]byte, error) {
+	if len(b.pieces) == 1 {
+		return b.pieces[0], nil
+	}
+	if err := b.Take(ctx, b.bytes); err != nil {
+		return nil, err
+	}
+	return slices.Concat(b.pieces...), nil
+}
+
 // Reader returns a reader of the bytes.
 func (b *Body) Reader() io.Reader {
 	return &bodyReader{
--- a/internal/process/host/host.go
+++ b/internal/process/host/host.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
+	"mustardreach.example/mustardreach/internal/connection/budget"
 	"mustardreach.example/mustardreach/internal/connection/message"
 	"mustardreach.example/mustardreach/internal/connection/peer"
 	"mustardreach.example/mustardreach/internal/connection/worker"
@@ -275,7 +276,7 @@
 }
 
 func (h *Host) listen() error {
-	operators, err := newServer("operators", h.settings.Listen.Operators, h.operatorsMux())
+	operators, err := newServer("operators", h.settings.Listen.Operators, h.operatorsMux(), budget.ForProbes())
 	if err != nil {
 		return err
 	}
@@ -283,7 +284,8 @@
 	if !h.settings.Host.Gate {
 		return nil
 	}
-	callers, err := newServer("callers", h.settings.Listen.Callers, h.callersMux())
+	callers, err := newServer("callers", h.settings.Listen.Callers, h.callersMux(),
+		budget.ForProcess(int64(h.settings.Host.MemoryMB)<<20, h.settings.Host.Descriptors))
 	if err != nil {
 		return err
 	}
--- a/internal/process/host/operators.go
+++ b/internal/process/host/operators.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 
+	"mustardreach.example/mustardreach/internal/connection/listener"
 	"mustardreach.example/mustardreach/internal/connection/message"
 	"mustardreach.example/mustardreach/internal/process/member"
 	"mustardreach.example/mustardreach/internal/process/platform"
@@ -23,6 +24,9 @@
 // maxNoteBytes bounds the size of a release note.
 const maxNoteBytes = 512 << 10
 
+// noteTimeout bounds the time for receiving one.
+const noteTimeout = 30 * time.Second
+
 func (h *Host) operatorsMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", h.live)
@@ -106,11 +110,21 @@
 	_ = encoder.Encode(value)
 }
 
+// readNote receives a release note. Errors: those of listener.ReadBody.
+func readNote(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := listener.ReadBody(w, r, maxNoteBytes, time.Now().Add(noteTimeout))
+	if err != nil {
+		return nil, err
+	}
+	return body.Bytes(r.Context())
+}
+
 // applyRelease handles POST /v1/releases?name=FILE&dry_run=true.
 func (h *Host) applyRelease(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxNoteBytes))
+	text, err := readNote(w, r)
 	if err != nil {
-		refuseRelease(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("a note has at most %d bytes", maxNoteBytes))
+		problem := gate.BodyProblem(err, maxNoteBytes)
+		refuseRelease(w, problem.Status, problem.Detail)
 		return
 	}
 	name := r.URL.Query().Get("name")
--- a/internal/process/settings/keys.go
+++ b/internal/process/settings/keys.go
@@ -51,6 +51,8 @@
 }
 
 func (s *Settings) registerWork(flags *flag.FlagSet) {
+	integerVar(flags, &s.Host.MemoryMB, "host.memory_mb", 512, 64, 1<<20, "memory of the process in MiB, of which callers get a quarter")
+	integerVar(flags, &s.Host.Descriptors, "host.descriptors", 4096, 64, 1<<20, "descriptors of the process, of which callers get a fifth")
 	integerVar(flags, &s.Requests.BodyBytes, "requests.body_bytes", 1<<20, 1, 1<<30, "maximum bytes of a request body")
 	integerVar(flags, &s.Requests.Queue, "requests.queue", 512, 1, 1<<20, "maximum queued requests per service")
 	durationVar(flags, &s.Requests.Timeout, "requests.timeout", 2*time.Second, "default and maximum deadline of a request")
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -53,6 +53,9 @@
 	// Gate and Dispatch enable the two roles: serving callers and placing jobs
 	// on workers.
 	Gate, Dispatch bool
+	// MemoryMB is the memory of the process, in MiB, and Descriptors how many
+	// descriptors it may use. Callers get a part of each.
+	MemoryMB, Descriptors int
 }
 
 // Listen holds the listen addresses for callers, operators and other entry
--- a/internal/request/gate/handler.go
+++ b/internal/request/gate/handler.go
@@ -7,10 +7,8 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"expvar"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +18,7 @@
 
 	"github.com/google/uuid"
 
+	"mustardreach.example/mustardreach/internal/connection/listener"
 	"mustardreach.example/mustardreach/internal/process/platform"
 	"mustardreach.example/mustardreach/internal/request/admission"
 	"mustardreach.example/mustardreach/internal/version/release"
@@ -139,15 +138,11 @@
 	if err != nil {
 		return nil, refusal(http.StatusBadRequest, err.Error())
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.config.BodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, refusal(http.StatusRequestEntityTooLarge, fmt.Sprintf("body is over %d bytes", h.config.BodyBytes))
-	}
+	now := time.Now()
+	body, err := h.readBody(w, r, now.Add(timeout))
 	if err != nil {
-		return nil, refusal(http.StatusBadRequest, "body could not be read")
+		return nil, BodyProblem(err, h.config.BodyBytes)
 	}
-	now := time.Now()
 	return &call{
 		service:    name,
 		customer:   CustomerOf(r),
@@ -162,6 +157,31 @@
 	}, nil
 }
 
+// readBody receives the body by the deadline. It is held as long as the request may
+// be retried. Errors: those of listener.ReadBody.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
+	body, err := listener.ReadBody(w, r, h.config.BodyBytes, deadline)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	return body.Bytes(ctx)
+}
+
+// BodyProblem returns the problem of a body that was not received: the request has
+// not run.
+func BodyProblem(err error, limit int64) *Problem {
+	problem := refusal(listener.Status(err), err.Error())
+	switch problem.Status {
+	case http.StatusRequestEntityTooLarge:
+		problem.Detail = fmt.Sprintf("body is over %d bytes", limit)
+	case http.StatusServiceUnavailable:
+		problem.RetryAfter = time.Second
+	}
+	return problem
+}
+
 // refusal is the problem of a request that was not run.
 func refusal(status int, detail string) *Problem {
 	return &Problem{
--- a/internal/request/ledger/handler.go
+++ b/internal/request/ledger/handler.go
@@ -11,11 +11,10 @@
 	"errors"
 	"expvar"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"time"
 
+	"mustardreach.example/mustardreach/internal/connection/listener"
 	"mustardreach.example/mustardreach/internal/connection/worker"
 	"mustardreach.example/mustardreach/internal/process/platform"
 	"mustardreach.example/mustardreach/internal/request/gate"
@@ -77,6 +76,11 @@
 	maxCores          = 4096
 	maxMemoryGB       = 1 << 16
 	maxAccelerators   = 1024
+	// bodyTimeout bounds the time for receiving a body.
+	bodyTimeout = 10 * time.Second
+	// decodeFactor bounds the memory of a job as a multiple of the length of its
+	// body: the payload in the decoder, in the record and in the call to the store.
+	decodeFactor = 8
 	// maxRetries bounds how often a store call is repeated after a failed, an
 	// unknown or a conflicting result.
 	maxRetries = 5
@@ -165,12 +169,15 @@
 	if state == nil {
 		return refuse(http.StatusServiceUnavailable, "no release is in force on this host yet")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.config.BodyBytes))
+	body, err := listener.ReadBody(w, r, h.config.BodyBytes, h.config.Clock().Add(bodyTimeout))
 	if err != nil {
-		return refuse(http.StatusRequestEntityTooLarge, fmt.Sprintf("body is over %d bytes or was cut off", h.config.BodyBytes))
+		return nil, gate.BodyProblem(err, h.config.BodyBytes)
+	}
+	if err := body.Take(r.Context(), decodeFactor*body.Len()); err != nil {
+		return nil, gate.BodyProblem(err, h.config.BodyBytes)
 	}
 	var submission Submission
-	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	decoder := json.NewDecoder(body.Reader())
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&submission); err != nil {
 		return refuse(http.StatusBadRequest, "body: "+err.Error())
