Limit the peer connections that have not authenticated

Cause: connections without the fleet's key end after 3 s, but their number had no limit, and each could fill the buffer of a whole frame, 1 MiB.

Evidence: by reading; TestHandshakesAreLimited dials one more than the limit, which does not exist before this change.

Change: at most 256 connections authenticate at a time, others are refused at once and dial again; until then a frame has at most 64 KiB, as on the dialling side.

Ruled out: letting the oldest give way, which would be an ordinary host while many dial a new leader.

--- a/internal/connection/peer/hub_test.go
+++ b/internal/connection/peer/hub_test.go
@@ -203,3 +203,18 @@
 	require.Error(t, err, "the hub closes the connection")
 	assert.NotNil(t, b.counts.Get("refused_slow"))
 }
+
+// TestHandshakesAreLimited guards against clients without the key that use up the
+// descriptors: those beyond the limit are refused at once, and peers are served
+// when the others have run into their timeout.
+func TestHandshakesAreLimited(t *testing.T) {
+	a, b := newTestPeer(t, "a", testKey), newTestPeer(t, "b", testKey)
+	for range maxUnauthenticated + 1 {
+		conn, err := net.Dial("tcp", b.self.Peers.String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	require.Eventually(t, func() bool { return b.counts.Get("refused_too_many") != nil }, 20*time.Second, 10*time.Millisecond)
+	a.hub.Ensure(b.self.Peers)
+	a.awaitEvent(t, func(event Event) bool { return event.Up })
+}
--- a/internal/connection/peer/incoming.go
+++ b/internal/connection/peer/incoming.go
@@ -31,6 +31,9 @@
 	})
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if len(h.unauthenticated) >= maxUnauthenticated {
+		return nil, h.reject("too_many")
+	}
 	h.unauthenticated[conn] = h.config.Clock()
 	return nil, gnet.None
 }
@@ -43,6 +46,10 @@
 	return gnet.None
 }
 
+// maxUnauthenticated is how many connections may be authenticating at a time. A host
+// that is refused dials again.
+const maxUnauthenticated = 256
+
 // proofTimeout is how long an accepted connection may take to authenticate.
 const proofTimeout = 3 * time.Second
 
@@ -116,7 +123,11 @@
 func (h *Hub) readFrames(conn gnet.Conn, state *incoming) gnet.Action {
 	for {
 		buffered, _ := conn.Peek(-1)
-		payload, consumed, err := cutFrame(buffered, h.config.FrameBytes)
+		limit := h.config.FrameBytes
+		if !state.authenticated {
+			limit = min(limit, maxHandshakeBytes)
+		}
+		payload, consumed, err := cutFrame(buffered, limit)
 		if errors.Is(err, errIncomplete) {
 			return gnet.None
 		}
