--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 SEEDS         ?= 1 2 3
 FAULTS        ?= 20s
 MIX           ?= all
+CROWD         ?= false
 # The tests that KNOWN-RED.txt lists with "skip:" are passed over, and no others.
 SKIP          ?= $(shell sed -n 's/^  skip: \([^ ]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 
@@ -57,8 +58,8 @@
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 .PHONY: soak
-soak: ## run the fault soak of the real program: SEEDS="1 2 3" FAULTS=20s MIX=unplanned, planned, all or deployment
-	for seed in $(SEEDS); do CGO_ENABLED=1 $(GO) test -count=1 ./platform/soak -seed $$seed -faults $(FAULTS) -mix $(MIX) || exit 1; done
+soak: ## run the fault soak of the real program: SEEDS="1 2 3" FAULTS=20s MIX=unplanned, planned, all or deployment CROWD=true
+	for seed in $(SEEDS); do CGO_ENABLED=1 $(GO) test -count=1 ./platform/soak -seed $$seed -faults $(FAULTS) -mix $(MIX) -crowd=$(CROWD) || exit 1; done
 
 .PHONY: lint
 lint: $(TOOLS)/golangci-lint ## check formatting and style
--- a/internal/connection/budget/share.go
+++ b/internal/connection/budget/share.go
@@ -21,8 +21,8 @@
 
 // Limits of a process without settings for them.
 const (
-	defaultMemory      = 512 << 20
-	defaultDescriptors = 4096
+	DefaultMemory      = 512 << 20
+	DefaultDescriptors = 4096
 )
 
 const (
@@ -37,10 +37,10 @@
 // connections. Zero means that there is no setting.
 func ForProcess(memory int64, descriptors int) Config {
 	if memory <= 0 {
-		memory = defaultMemory
+		memory = DefaultMemory
 	}
 	if descriptors <= 0 {
-		descriptors = defaultDescriptors
+		descriptors = DefaultDescriptors
 	}
 	callers := memoryShare * float64(memory)
 	requests := (1 - placeShare) * callers
