Close connections without a place or memory for their header unanswered

By reading: 503 says that a request never runs, and for these connections the host does not know which job they are about; an earlier attempt without an answer may have been accepted. They are closed now, which promises nothing, and the caller asks again at any host.

--- a/internal/connection/listener/conn.go
+++ b/internal/connection/listener/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,6 +18,8 @@
 	// headerFactor is the memory of a header as a multiple of its text: the
 	// text, its decoded fields and their index.
 	headerFactor = 3
+	// refusalTimeout bounds the answer to a header that is too large.
+	refusalTimeout = 10 * time.Millisecond
 )
 
 // conn is one connection of a caller. It bounds the time and the size of headers,
@@ -175,15 +178,15 @@
 	return n, err
 }
 
-// checkHeader takes memory for n more bytes of a header. If the header is too
-// large or there is no memory, it answers and returns an error.
+// checkHeader takes memory for n more bytes of a header. It closes the connection
+// and returns an error if there is none, or if the header is too large, which it
+// answers.
 func (c *conn) checkHeader(before, n int) error {
 	switch limit := c.owner.config.Limits().HeaderBytes; {
 	case before+n > limit+headerSlack:
-		c.answer(http.StatusRequestHeaderFieldsTooLarge, "")
+		c.answerTooLarge()
 		c.owner.config.Refusals.Add("header_too_large")
 	case c.take(headerFactor*n) != nil:
-		c.answer(http.StatusServiceUnavailable, "Retry-After: 1\r\n")
 		c.owner.config.Refusals.Add("header_no_memory")
 	default:
 		return nil
@@ -202,11 +205,12 @@
 	return c.account.Take(ctx, int64(bytes), false)
 }
 
-// answer sends an answer outside of net/http, which has not passed the request
-// on.
-func (c *conn) answer(status int, fields string) {
+// answerTooLarge refuses a header, which net/http has not read to its end. The answer
+// fits the send buffer unless earlier ones have not been read.
+func (c *conn) answerTooLarge() {
+	const status = http.StatusRequestHeaderFieldsTooLarge
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	_, _ = c.Conn.Write([]byte(refusal(status, fields)))
+	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status))
 }
 
 // Write implements net.Conn.
--- a/internal/connection/listener/listener.go
+++ b/internal/connection/listener/listener.go
@@ -56,8 +56,6 @@
 	// answerTimeout is how long a caller may take to make room for the next part
 	// of an answer.
 	answerTimeout = 10 * time.Second
-	// refusalTimeout bounds the answer to a connection that is refused.
-	refusalTimeout = 10 * time.Millisecond
 )
 
 // Listener serves HTTP at one address.
@@ -158,9 +156,10 @@
 	owner *Listener
 }
 
-// Accept implements net.Listener. Connections beyond the budget are answered and
-// closed at once: those that are not accepted fill the queue of the kernel, which
-// then drops the opening packets of ordinary callers.
+// Accept implements net.Listener. Connections beyond the budget are closed at once:
+// those that are not accepted fill the queue of the kernel, which then drops the
+// opening packets of ordinary callers. They get no answer, since a refusal would say
+// that their request never runs, and an earlier attempt of it may be running.
 func (a *acceptor) Accept() (net.Conn, error) {
 	for {
 		accepted, err := a.Listener.Accept()
@@ -170,25 +169,13 @@
 		c := newConn(accepted, a.owner)
 		if c.open() != nil {
 			a.owner.config.Refusals.Add("connections", "listener", a.owner.config.Name)
-			refuse(accepted)
+			_ = accepted.Close()
 			continue
 		}
 		return c, nil
 	}
 }
 
-// refuse answers a connection of which nothing has been read, and closes it.
-func refuse(accepted net.Conn) {
-	_ = accepted.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	_, _ = accepted.Write([]byte(refusal(http.StatusServiceUnavailable, "Retry-After: 1\r\n")))
-	_ = accepted.Close()
-}
-
-// refusal returns an answer without a body, after which the connection closes.
-func refusal(status int, fields string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), fields)
-}
-
 // errorLog passes the lines of net/http on as structured ones.
 type errorLog struct {
 	name string
