--- a/internal/request/intake/room.go
+++ b/internal/request/intake/room.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"mustardreach.example/mustardreach/internal/process/leader"
 	"mustardreach.example/mustardreach/internal/process/store"
@@ -20,6 +21,8 @@
 	mu sync.Mutex
 	// shards is keyed by shard.
 	shards map[int]*shardRoom
+	// fullUntil is until when a leader that had no room is taken to have none.
+	fullUntil time.Time
 }
 
 type shardRoom struct {
@@ -72,6 +75,20 @@
 	room.granted = room.left
 }
 
+func (r *rooms) setFull(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fullUntil = until
+}
+
+// Full reports whether a leader had no room a short time ago, so that decoding a
+// large job is likely to be in vain.
+func (i *Intake) Full() bool {
+	i.rooms.mu.Lock()
+	defer i.rooms.mu.Unlock()
+	return i.config.Clock().Before(i.rooms.fullUntil)
+}
+
 func (r *rooms) endAsking(number int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,6 +135,9 @@
 		i.rooms.add(number, answer.Room, bytes)
 		return Accepted, false
 	}
+	if answer.Known {
+		i.rooms.setFull(i.config.Clock().Add(RetryAfter))
+	}
 	outcome = i.Existing(ctx, access, job.ID)
 	return outcome, outcome == Accepted
 }
--- a/internal/request/intake/room_test.go
+++ b/internal/request/intake/room_test.go
@@ -92,6 +92,7 @@
 			}
 			assert.Equal(t, tt.want, taker.Submit(context.Background(), Access{}, tt.job))
 			assert.Equal(t, tt.wantAsked, asked)
+			assert.Equal(t, tt.answer.Known && tt.answer.Room == 0, taker.Full())
 			stored, err := memory.Client().Get(context.Background(), taker.homeOf(0).keys.Job(tt.job.ID))
 			assert.Equal(t, tt.want == Accepted, err == nil && stored.Revision != 0, "what is refused is not stored")
 		})
