Take memory for a back end's answer before the request runs

Callers saw nothing yet; found by reading the change again.

Cause: the gate reads up to 64 KiB of each answer before it passes any of it on, outside of the budget: 52 MB for the 819 callers of the default settings.

Evidence: TestMemoryForAnswersIsTakenBeforeTheRequestRuns fails before the change: with less memory than an answer may need the request runs (status 200, one run).

Change: the memory is taken together with that of the body. A request without it is refused with 503, Retry-After and not_run, and reaches no back end.

Ruled out: taking it when the answer arrives, when the work has run and can no longer be refused.

--- a/internal/request/gate/handler.go
+++ b/internal/request/gate/handler.go
@@ -158,7 +158,9 @@
 }
 
 // readBody receives the body by the deadline. It is held as long as the request may
-// be retried. Errors: those of listener.ReadBody.
+// be retried. Memory for the answer, which is read before any of it is passed on, is
+// taken too, while the request can still be refused. Errors: those of
+// listener.ReadBody.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) ([]byte, error) {
 	body, err := listener.ReadBody(w, r, h.config.BodyBytes, deadline)
 	if err != nil {
@@ -166,6 +168,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	if err := body.Take(ctx, maxBufferedBytes); err != nil {
+		return nil, err
+	}
 	return body.Bytes(ctx)
 }
 
