Keep the share of callers' calls to the store with the other shares

Cause: the adapter decided which part of the descriptors callers may use for calls to the store; such decisions belong to the product, beside the shares of memory and connections. No caller sees a difference.

--- a/internal/connection/budget/share.go
+++ b/internal/connection/budget/share.go
@@ -8,6 +8,10 @@
 const (
 	memoryShare     = 0.25
 	descriptorShare = 0.2
+	// storeShare is the share of the descriptors for calls to the store that
+	// requests of callers make; minStoreCalls is the least number of them.
+	storeShare    = 0.05
+	minStoreCalls = 8
 	// placeShare is the part of the callers' memory that their connections have
 	// beside requests.
 	placeShare = 0.5
@@ -53,6 +57,12 @@
 	}
 }
 
+// StoreCalls returns how many calls to the store the requests of callers may have in
+// progress in a process that may use the descriptors for connections.
+func StoreCalls(descriptors int) int {
+	return max(minStoreCalls, int(storeShare*float64(descriptors)))
+}
+
 // ForProbes returns the configuration, without functions, of the budget of an
 // address that only operators and the platform call. Its memory has room for a few
 // release notes.
