--- /dev/null
+++ b/review/cases-3/main.go
@@ -0,0 +1,57 @@
+// Command cases3 plays the cases of the third review: it starts the program of this
+// repository as separate processes, with stand-ins of the store, the runners and the
+// clients on loopback addresses.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases are by name. Each returns an error if the case could not run.
+var cases = map[string]func(w *world, trouble bool) error{}
+
+func main() {
+	os.Exit(play())
+}
+
+func play() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: cases3 CASE RECORD")
+		return 2
+	}
+	w, err := newWorld(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer w.close()
+	trouble := os.Getenv("TROUBLE") != "0"
+	w.note("case %s, trouble %v", os.Args[1], trouble)
+	if err := cases[os.Args[1]](w, trouble); err != nil {
+		w.note("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, text := range w.broken {
+		fmt.Println("BROKEN", text)
+	}
+	if len(w.broken) > 0 {
+		return 1
+	}
+	fmt.Println("the rules held")
+	return 0
+}
+
+// deploy starts three hosts, and waits for them.
+func (w *world) deploy(guards bool, attempts int) error {
+	w.configure(guards, attempts)
+	for _, zone := range []string{"recife", "jaboatao", "olinda"} {
+		if _, err := w.addHost(zone); err != nil {
+			return err
+		}
+	}
+	return w.awaitReady()
+}
