--- a/review/cases-3/runner.go
+++ b/review/cases-3/runner.go
@@ -14,6 +14,7 @@
 const (
 	holdMax   = 6000 * time.Millisecond
 	stopGrace = 200 * time.Millisecond
+	heartbeat = 1500 * time.Millisecond
 	// bootTime is how long a life takes from the start of its clock until it answers.
 	bootTime = 250 * time.Millisecond
 )
@@ -98,6 +99,11 @@
 	// late decides, while it is set, whether an order gets no answer, and when it is
 	// carried out.
 	late func(path string, call order) (delay time.Duration, unanswered bool)
+	// closesLook makes the look that waits get no answer: its connection is closed.
+	closesLook bool
+	// leaves is when it may leave while it drains, and cutUntil until when it does not
+	// reach the store.
+	leaves, cutUntil time.Time
 }
 
 // start begins a life.
@@ -165,7 +171,7 @@
 // beat writes the entry of the runner.
 func (r *runner) beat(l *life) {
 	r.mu.Lock()
-	if r.life != l {
+	if r.life != l || time.Now().Before(r.cutUntil) {
 		r.mu.Unlock()
 		return
 	}
@@ -175,13 +181,15 @@
 		"cold_left_ms": 0, "capacity": r.capacity, "labels": r.labels, "clock_ms": l.clock().Milliseconds(),
 		"seq": l.seq, "born": l.born.UnixMilli(),
 	}
+	if r.state == "draining" {
+		entry["remaining_ms"] = max(0, time.Until(r.leaves).Milliseconds())
+	}
 	r.mu.Unlock()
 	r.world.store.put("servers/"+r.id, entry)
 }
 
 // work ends the runs that are over, and writes the entry at each interval.
 func (r *runner) work(l *life) {
-	const heartbeat = 1500 * time.Millisecond
 	beaten := time.Now()
 	for range time.Tick(5 * time.Millisecond) {
 		r.mu.Lock()
@@ -262,6 +270,10 @@
 		}
 	}
 	status, body := r.carryOut(l, request, request.URL.Path, call)
+	if request.URL.Path == "/hold" && r.takeCloses() {
+		r.world.note("a look at %s gets no answer, its connection is closed", r.id)
+		panic(http.ErrAbortHandler)
+	}
 	answer(writer, status, body)
 }
 
@@ -366,7 +378,7 @@
 // await waits until a run has ended that is not forgotten. The caller holds the lock.
 func (r *runner) await(l *life, request *http.Request, wait time.Duration) {
 	deadline := time.Now().Add(wait)
-	for len(l.ended) == 0 && time.Now().Before(deadline) && request != nil {
+	for len(l.ended) == 0 && !r.closesLook && time.Now().Before(deadline) && request != nil {
 		changed := l.changed
 		r.mu.Unlock()
 		select {
--- a/review/cases-3/world.go
+++ b/review/cases-3/world.go
@@ -17,9 +17,11 @@
 // world is a small deployment: the store, runners, hosts of the system, and the
 // record of what clients and runners have seen.
 type world struct {
-	store     *metadataStore
-	storeAt   string
-	hosts     []*host
+	store   *metadataStore
+	storeAt string
+	hosts   []*host
+	// runners is by id.
+	runners   map[string]*runner
 	startedAt time.Time
 	// folder holds the settings and the logs of the hosts, network is the first three
 	// numbers of all addresses.
@@ -69,6 +71,7 @@
 		folder:    folder,
 		network:   fmt.Sprintf("127.%d.%d", 64+pid/250%64, 1+pid%250),
 		record:    file,
+		runners:   map[string]*runner{},
 		jobs:      map[string]*jobRecord{},
 		runs:      map[string][]*runRecord{},
 	}
@@ -450,6 +453,7 @@
 		guards:   guards,
 		world:    w,
 	}
+	w.runners[id] = r
 	return r, r.start()
 }
 
