--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -6,4 +6,4 @@
   echo "target/mustardreach or target/review-3 is missing: build them first" >&2
   exit 2
 fi
-exec target/review-3 flap review/14/record.txt
+exec target/review-3 moved review/14/record.txt
--- a/review/cases-3/main.go
+++ b/review/cases-3/main.go
@@ -48,6 +48,11 @@
 // deploy starts three hosts, and waits for them.
 func (w *world) deploy(guards bool, attempts int) error {
 	w.configure(guards, attempts)
+	return w.startHosts()
+}
+
+// startHosts starts a host in each zone, and waits for them.
+func (w *world) startHosts() error {
 	for _, zone := range []string{"recife", "jaboatao", "olinda"} {
 		if _, err := w.addHost(zone); err != nil {
 			return err
--- a/review/cases-3/world.go
+++ b/review/cases-3/world.go
@@ -425,27 +425,46 @@
 	return false
 }
 
-// configure writes a configuration with one queue.
+// firstService runs the queue in the first configuration.
+const firstService = "huvo11a"
+
+// configure writes the first configuration, with one queue.
 func (w *world) configure(guards bool, attempts int) {
+	w.configureService(7, firstService, guards, attempts)
+}
+
+// configureService writes a version of the configuration that sends the queue to a service.
+func (w *world) configureService(version int, service string, guards bool, attempts int) {
+	services := []any{}
+	for _, name := range []string{firstService, "besa22b"} {
+		services = append(services, map[string]any{
+			"name": name, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false,
+			"cold_start_s": 0.0, "cold_per_s": 0.0, "enforces_capacity": guards, "standby": false,
+		})
+	}
+	w.note("configuration %d sends the queue to %s", version, service)
 	w.store.put("op/config", map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []any{map[string]any{
 			"name": "r-3hwrr6x", "host": "nony24.example", "prefix": "/lohu930/", "kind": "unsafe", "timeout_ms": 3000,
-			"target_duration_ms": 1000, "priority": 2, "service": "huvo11a", "max_attempts": attempts, "stretch": 2.0,
+			"target_duration_ms": 1000, "priority": 2, "service": service, "max_attempts": attempts, "stretch": 2.0,
 		}},
-		"services": []any{map[string]any{
-			"name": "huvo11a", "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false,
-			"cold_start_s": 0.0, "cold_per_s": 0.0, "enforces_capacity": guards, "standby": false,
-		}},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"services": services,
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
 
 // addRunner adds a runner and starts it.
 func (w *world) addRunner(id, zone, rack, kind string, capacity size, guards bool) (*runner, error) {
+	r := w.newRunner(id, zone, rack, kind, capacity, guards)
+	return r, r.start()
+}
+
+// newRunner adds a runner that is not started yet.
+func (w *world) newRunner(id, zone, rack, kind string, capacity size, guards bool) *runner {
 	r := &runner{
 		id:       id,
-		service:  "huvo11a",
+		service:  firstService,
 		zone:     zone,
 		address:  w.network + ".201:0",
 		labels:   []string{kind, rack},
@@ -454,7 +473,7 @@
 		world:    w,
 	}
 	w.runners[id] = r
-	return r, r.start()
+	return r
 }
 
 // addRunners adds runners in three zones. The first one alone has the label "press".
@@ -504,3 +523,23 @@
 		<-ended
 	}
 }
+
+// leadRevision is the revision of the lead key, zero without one.
+func (w *world) leadRevision() int64 {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	return w.store.items["mustardreach/work/lead"].Revision
+}
+
+// leader returns the host that the lead key names.
+func (w *world) leader() *host {
+	w.store.mu.Lock()
+	value := w.store.items["mustardreach/work/lead"].Value
+	w.store.mu.Unlock()
+	for _, h := range w.hosts {
+		if bytes.Contains(value, []byte(h.name)) {
+			return h
+		}
+	}
+	return nil
+}
