--- a/review/cases-3/largebody.go
+++ b/review/cases-3/largebody.go
@@ -2,15 +2,18 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
 func init() { cases["largebody"] = largeBody }
 
-// largeBody: a client that the users don't control sends one large body of legal size: a
-// job of two steps that is repeated, whose second step names the first one again and
-// again. Ordinary callers hand in small jobs afterwards.
+// largeBody: clients that the users don't control send three large bodies of legal size at
+// once: jobs of two steps that are repeated, whose second step names the first one again
+// and again. Ordinary callers hand in small jobs afterwards.
 func largeBody(w *world, trouble bool) error {
 	if _, err := w.addRunners(12, true); err != nil {
 		return err
@@ -19,26 +22,8 @@
 		return err
 	}
 	if trouble {
-		const (
-			id      = "5c0e7a21d94b36f8"
-			repeats = 10000
-			largest = 262144
-		)
-		after := make([]int, 130900)
-		j := &jobRecord{
-			id: id,
-			steps: []map[string]any{
-				{"count": 1, "cpu": int64(50), "mem_mb": int64(16), "estimate_ms": 50},
-				{"count": 1, "cpu": int64(50), "mem_mb": int64(16), "estimate_ms": 50, "after": after},
-			},
-			lasts:  []time.Duration{50 * time.Millisecond, 50 * time.Millisecond},
-			ending: "done",
-		}
-		more := map[string]any{"repeat_count": repeats, "first_run_ms": time.Now().UnixMilli(), "interval_ms": 1000}
-		text, _ := json.Marshal(map[string]any{"spec": "order " + id, "steps": j.steps, "repeat_count": repeats, "first_run_ms": time.Now().UnixMilli(), "interval_ms": 1000})
-		w.note("a body of %d bytes, the largest is %d", len(text), largest)
-		if err := w.submit(j, more); err != nil {
-			return err
+		if accepted := w.submitLarge(); accepted == 0 {
+			return errors.New("no large body was accepted")
 		}
 	}
 	const ordinary = 10
@@ -83,3 +68,37 @@
 
 // finish is finish_s.
 const finish = 14 * time.Second
+
+// submitLarge sends the large bodies and returns how many jobs were accepted.
+func (w *world) submitLarge() int {
+	const (
+		bodies  = 3
+		repeats = 10000
+		entries = 130900
+	)
+	steps := []map[string]any{
+		{"count": 1, "cpu": int64(50), "mem_mb": int64(16), "estimate_ms": 50},
+		{"count": 1, "cpu": int64(50), "mem_mb": int64(16), "estimate_ms": 50, "after": make([]int, entries)},
+	}
+	more := map[string]any{"repeat_count": repeats, "first_run_ms": time.Now().UnixMilli(), "interval_ms": 1000}
+	var sending sync.WaitGroup
+	var accepted atomic.Int64
+	for n := range bodies {
+		sending.Go(func() {
+			j := &jobRecord{
+				id:     fmt.Sprintf("5c0e7a21d94b36f%x", n),
+				steps:  steps,
+				lasts:  []time.Duration{50 * time.Millisecond, 50 * time.Millisecond},
+				ending: "done",
+			}
+			text, _ := json.Marshal(map[string]any{"spec": "order " + j.id, "steps": steps, "repeat_count": repeats, "first_run_ms": more["first_run_ms"], "interval_ms": 1000})
+			w.note("a body of %d bytes, max_body_bytes is 262144", len(text))
+			if w.submit(j, more) == nil {
+				accepted.Add(1)
+			}
+		})
+	}
+	sending.Wait()
+	w.note("%d large jobs were accepted", accepted.Load())
+	return int(accepted.Load())
+}
