--- a/review/cases-3/flap.go
+++ b/review/cases-3/flap.go
@@ -40,10 +40,17 @@
 			time.Sleep(gap)
 		}
 	}
-	if w.awaitState(id, "failed", 10*time.Second) {
-		w.mu.Lock()
-		w.breaks("LOST: job %s is shown as failed, and no run of it has ended failed", id)
-		w.mu.Unlock()
+	if !w.awaitState(id, "failed", 10*time.Second) {
+		return nil
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, each := range w.runs[id+".0.0.0"] {
+		if each.how == "failed" {
+			w.noteLocked("run %d has ended failed: the state has a cause", each.number)
+			return nil
+		}
+	}
+	w.breaks("LOST: job %s is shown as failed, and none of its %d runs has ended failed", id, len(w.runs[id+".0.0.0"]))
 	return nil
 }
--- a/review/cases-3/largebody.go
+++ b/review/cases-3/largebody.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,26 +47,88 @@
 	}
 	w.note("end of the traffic, %d ordinary jobs were accepted", len(ids))
 	time.Sleep(finish)
-	idle, unknown := []string{}, []string{}
+	unknown := 0
 	for _, id := range ids {
-		if state := w.state(id); state == "" {
-			unknown = append(unknown, id)
+		if !w.answersState(id) {
+			unknown++
 		}
 	}
+	idle := w.idleThroughout(ids, 3*time.Second)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if len(idle) > 0 {
+		w.breaks("LOST: for 3 s, %d of %d ordinary jobs have nothing running, with most of the room free, %s after the end of the traffic", len(idle), len(ids), finish)
+	}
+	if unknown > 0 {
+		w.breaks("LOST: no host answers for %d of %d ordinary jobs, %s after the end of the traffic", unknown, len(ids), finish)
+	}
+	return nil
+}
+
+// answersState reports whether a host answers for a job.
+func (w *world) answersState(id string) bool {
+	for _, h := range w.hosts {
+		if status, _ := w.call(h, http.MethodGet, "/lohu930/"+id, nil); status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+// idleThroughout returns the jobs that are not done and have nothing running for a time, in
+// which under half of the runners' cores and memory is in use and two runners or more have
+// room for a task of theirs.
+func (w *world) idleThroughout(ids []string, lasting time.Duration) []string {
+	idle := map[string]bool{}
 	for _, id := range ids {
-		if w.runs[id+".0.0.0"] == nil {
-			idle = append(idle, id)
+		idle[id] = true
+	}
+	for end := time.Now().Add(lasting); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if !w.hasRoom() {
+			w.note("the runners have no room")
+			return nil
 		}
+		w.mu.Lock()
+		for id := range idle {
+			if w.isDoneOrRuns(id) {
+				delete(idle, id)
+			}
+		}
+		w.mu.Unlock()
 	}
-	if len(idle) > 0 {
-		w.breaks("LOST: %d of %d ordinary jobs, accepted %s ago or longer, have never had anything running; all runners are free", len(idle), len(ids), finish)
+	return slices.Sorted(maps.Keys(idle))
+}
+
+// isDoneOrRuns reports whether a task of a job runs or has ended done. The caller holds the
+// lock.
+func (w *world) isDoneOrRuns(id string) bool {
+	for task, all := range w.runs {
+		for _, each := range all {
+			if jobOf(task) == id && (each.ended.IsZero() || each.how == "done") {
+				return true
+			}
+		}
 	}
-	if len(unknown) > 0 {
-		w.breaks("LOST: the state of %d of %d ordinary jobs is not answered %s after the end of the traffic", len(unknown), len(ids), finish)
+	return false
+}
+
+// hasRoom reports whether under half of all cores and memory is in use, and two runners
+// have room for a task of an ordinary job.
+func (w *world) hasRoom() bool {
+	used, all, roomy := size{}, size{}, 0
+	for _, r := range w.runners {
+		r.mu.Lock()
+		if r.life != nil {
+			own := r.used(r.life)
+			used.CPU, used.MemMB = used.CPU+own.CPU, used.MemMB+own.MemMB
+			all.CPU, all.MemMB = all.CPU+r.capacity.CPU, all.MemMB+r.capacity.MemMB
+			if r.capacity.CPU-own.CPU >= 2000 && r.capacity.MemMB-own.MemMB >= 1024 {
+				roomy++
+			}
+		}
+		r.mu.Unlock()
 	}
-	return nil
+	return 2*used.CPU < all.CPU && 2*used.MemMB < all.MemMB && roomy >= 2
 }
 
 // finish is finish_s.
--- a/review/cases-3/latehold.go
+++ b/review/cases-3/latehold.go
@@ -11,7 +11,7 @@
 // and then carries out one of them late: a look with the number of an end of its
 // earlier life.
 func lateHold(w *world, trouble bool) error {
-	press, err := w.addRunners(4, true)
+	press, err := w.addRunners(8, true)
 	if err != nil {
 		return err
 	}
--- a/review/cases-3/main.go
+++ b/review/cases-3/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases are by name. Each returns an error if the case could not run.
@@ -26,6 +28,7 @@
 		return 2
 	}
 	defer w.close()
+	go w.closeOnSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.note("case %s, trouble %v", os.Args[1], trouble)
 	if err := cases[os.Args[1]](w, trouble); err != nil {
@@ -60,3 +63,12 @@
 	}
 	return w.awaitReady()
 }
+
+// closeOnSignal ends everything that was started when the driver is stopped.
+func (w *world) closeOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	<-stop
+	w.close()
+	os.Exit(2)
+}
