Take no sign that merely goes with the end of a worker for it

Cause: hasLeft took a draining worker that is off the list and has closed the connection of a poll for gone, and its claims were released at once. The entry goes after three heartbeats of silence; a closed connection is what one lost answer looks like.

The shortcut had a reason, so each run on a draining worker now ends or is stopped before the earliest shutdown that an entry has announced; no lease is requested once the last one lasts until then, and the worker is recorded as unreachable while it still answers. A worker on which nothing runs has nothing left to wait in that record.

Two tests of the record of unreachable workers need a run on the worker now. In the model a connection also closes while its worker goes on.

--- a/internal/process/leader/config.go
+++ b/internal/process/leader/config.go
@@ -21,11 +21,8 @@
 // higher token.
 var ErrFenced = errors.New("worker has seen a higher token")
 
-// ErrClosed is returned by a poll during which the worker closed the
-// connection.
-var ErrClosed = errors.New("worker closed the connection")
-
-// ErrBroken is returned by a poll whose connection broke before the answer.
+// ErrBroken is returned by a poll whose connection was closed or reset before the
+// answer. The worker may have carried out the call, and may go on.
 var ErrBroken = errors.New("connection to worker broke")
 
 // Target is the worker that a call is sent to.
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -41,9 +40,7 @@
 func (t *term) updateLinks(now time.Time) {
 	board := t.leader.board
 	listReliable := now.Sub(t.listFailedAt) > t.leader.config.Board.ListGrace
-	usable, unusable := t.usableListings()
-	board.SetUnusable(unusable)
-	board.SetWorkers(usable, listReliable, now)
+	board.SetWorkers(t.usableListings(), listReliable, now)
 	current := map[string]bool{}
 	for _, listing := range board.Roster() {
 		current[listing.ID] = true
@@ -64,22 +61,16 @@
 	}
 }
 
-// usableListings returns the entries of the list that name workers to use, and the ids of
-// the others: those that cannot be decoded, or whose service nobody has named. Nothing
-// else decides on entries.
-func (t *term) usableListings() (usable map[string]schedule.Listing, unusable map[string]bool) {
-	usable, unusable = make(map[string]schedule.Listing, len(t.listings)), maps.Clone(t.undecodable)
+// usableListings returns the entries of the list that name workers to use: not those of
+// services that nobody has named.
+func (t *term) usableListings() map[string]schedule.Listing {
+	usable := make(map[string]schedule.Listing, len(t.listings))
 	for id, listing := range t.listings {
 		if t.leader.board.KnowsService(listing.Service) {
 			usable[id] = listing
-			continue
-		}
-		if unusable == nil {
-			unusable = map[string]bool{}
 		}
-		unusable[id] = true
 	}
-	return usable, unusable
+	return usable
 }
 
 func (t *term) openLink(listing schedule.Listing) *link {
@@ -174,6 +165,7 @@
 	sent := config.Clock()
 	inventory, clock, err := config.Calls.Poll(limited, k.target, poll)
 	config.RecordDuration("look", config.Clock().Sub(sent))
+	inventory.Renewed = poll.Until > 0
 	inventory.Sent, inventory.Received = sent, config.Clock()
 	k.term.post(func(now time.Time) { k.handleReport(poll, inventory, clock, err, now) })
 }
@@ -195,13 +187,10 @@
 		}
 		k.lost, k.withoutAck = true, true
 		k.due = now.Add(pollRetryGap)
-		if errors.Is(err, ErrBroken) || errors.Is(err, ErrClosed) {
+		if errors.Is(err, ErrBroken) {
 			board.ConnectionBroken(k.target.ID, now)
 		}
 		board.MarkUnreachable(k.target.ID, now)
-		if errors.Is(err, ErrClosed) {
-			board.Closed(k.target.ID)
-		}
 		return
 	}
 	if poll.Token < k.term.token {
--- a/internal/process/leader/observe.go
+++ b/internal/process/leader/observe.go
@@ -155,7 +155,7 @@
 		return
 	}
 	if view.Snapshot {
-		t.listings, t.undecodable = make(map[string]schedule.Listing, len(view.Items)), map[string]bool{}
+		t.listings = make(map[string]schedule.Listing, len(view.Items))
 	}
 	for _, item := range view.Items {
 		t.observeWorker(item)
@@ -165,7 +165,6 @@
 			id := strings.TrimPrefix(event.Key, t.leader.config.WorkersPrefix)
 			klog.InfoS("worker left the list", "worker", id, "revision", event.Revision)
 			delete(t.listings, id)
-			delete(t.undecodable, id)
 			continue
 		}
 		t.observeWorker(event.Item)
@@ -180,10 +179,8 @@
 	if err != nil {
 		klog.InfoS("worker entry cannot be used", "worker", id, "revision", item.Revision, "err", err)
 		delete(t.listings, id)
-		t.undecodable[id] = true
 		return
 	}
-	delete(t.undecodable, id)
 	if !t.leader.config.Owns(listing) {
 		delete(t.listings, id)
 		return
--- a/internal/process/leader/summary.go
+++ b/internal/process/leader/summary.go
@@ -33,6 +33,6 @@
 	}
 	for _, worker := range unsettled[:min(len(unsettled), maxLoggedWorkers)] {
 		klog.InfoS("takeover waits for worker", "shard", t.leader.config.Shard, "token", t.token, "worker", worker.ID, "listed", worker.Listed,
-			"draining", worker.Draining, "closed", worker.Closed, "reachable", worker.Reachable, "remaining", worker.Remaining)
+			"draining", worker.Draining, "reachable", worker.Reachable, "remaining", worker.Remaining)
 	}
 }
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -35,10 +35,8 @@
 	// renewalFailed is set if the last renewal was not answered.
 	renewalFailed bool
 
-	// listings are the decoded entries of the list of workers, and undecodable the
-	// workers whose entries cannot be decoded.
-	listings    map[string]schedule.Listing
-	undecodable map[string]bool
+	// listings are the decoded entries of the list of workers.
+	listings map[string]schedule.Listing
 	// listReadAt is when the list of workers was last read, listFailedAt when
 	// reading it last failed.
 	listReadAt, listFailedAt time.Time
@@ -101,7 +99,6 @@
 		actUntil:     result.sent.Add(ActTerm),
 		renewedAt:    now,
 		listings:     map[string]schedule.Listing{},
-		undecodable:  map[string]bool{},
 		listFailedAt: now,
 		links:        map[string]*link{},
 		removed:      removedRecords{},
--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -91,8 +91,6 @@
 	evacuated map[string]bool
 	// services holds each service that a configuration or a job has named.
 	services map[string]bool
-	// unusable holds the workers whose entries cannot be used.
-	unusable map[string]bool
 
 	// startsLeft is how many more starts may be decided now.
 	startsLeft int
--- a/internal/process/schedule/forecasts.go
+++ b/internal/process/schedule/forecasts.go
@@ -119,8 +119,8 @@
 	return time.Duration(max(1, b.remoteFactor(j.work.Queue)) * float64(near))
 }
 
-// remaining is the expected time until a run has ended, by its progress or, if
-// it has reported none, by its run time so far.
+// remaining is the expected time until a run has ended. Of one that takes longer than
+// expected, it is a share of its run time so far.
 func (b *Board) remaining(w *workerState, key work.TaskKey, held *claim, now time.Time) time.Duration {
 	j := b.jobs[key.Job]
 	switch {
@@ -133,12 +133,17 @@
 	if t == nil {
 		return b.config.StopGrace
 	}
+	return max(b.untilExpectedEnd(w, j, step, held, now), time.Duration(overdueShare*float64(now.Sub(held.started))))
+}
+
+// untilExpectedEnd is the time until a run should end, by its progress or, if it has
+// reported none, by its run time so far. It is negative once the run is overdue.
+func (b *Board) untilExpectedEnd(w *workerState, j *job, step *stepState, held *claim, now time.Time) time.Duration {
 	const percent = 100
 	whole := b.onWorker(j, step, w, b.estimates.runTime(j.work.Queue, step.spec))
 	done, since := held.saved, held.started
 	if held.progress > done {
 		done, since = held.progress, held.lastProgress
 	}
-	rest := whole*time.Duration(max(0, percent-done))/percent - now.Sub(since)
-	return max(rest, time.Duration(overdueShare*float64(now.Sub(held.started))))
+	return whole*time.Duration(max(0, percent-done))/percent - now.Sub(since)
 }
--- a/internal/process/schedule/inventory.go
+++ b/internal/process/schedule/inventory.go
@@ -68,7 +68,10 @@
 		// From here on no other leader can extend the leases there.
 		w.leaseEnd = now.Add(b.longestLease())
 	}
-	w.reportedToken, w.lastReport, w.reachable, w.closed = b.token, now, true, false
+	if inventory.Renewed {
+		w.renewedAt = inventory.Sent
+	}
+	w.reportedToken, w.lastReport, w.reachable = b.token, now, true
 	w.lost, w.answeredAt = false, w.Address
 	if first {
 		b.removeReplaced(now)
--- a/internal/process/schedule/orders.go
+++ b/internal/process/schedule/orders.go
@@ -162,6 +162,8 @@
 	// have ended, in whatever way.
 	Ended       []EndedTask
 	EndsOmitted bool
+	// Renewed is set if the call requested a lease.
+	Renewed bool
 	// Sent and Received are when this host sent the call and got the answer.
 	Sent, Received time.Time
 }
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -139,22 +139,13 @@
 	return count
 }
 
-// accountedFor reports whether every run that an earlier leader started on the
-// worker is known or has ended. What a worker reports that has started again, and
-// the end of its leases, say that only if the leadership was confirmed later: a
-// successor may have heard of the runs before.
-func (b *Board) accountedFor(w *workerState) bool {
-	return w.settledToken == b.token && !w.confirmAfter.After(b.confirmedAt) || !b.confirmedAt.Before(w.leaseEnd)
-}
-
 // UnsettledWorker is a worker that may have runs of an earlier leader which
 // this one does not know.
 type UnsettledWorker struct {
 	ID string
-	// Listed, Draining, Closed and Reachable are what is known of it: whether the
-	// discovery list has it, whether it drains, whether it has closed a
-	// connection, and whether it answers.
-	Listed, Draining, Closed, Reachable bool
+	// Listed, Draining and Reachable are what is known of it: whether the discovery
+	// list has it, whether it drains, and whether it answers.
+	Listed, Draining, Reachable bool
 	// Remaining is the time until its runs are certainly over.
 	Remaining time.Duration
 }
@@ -170,7 +161,6 @@
 			ID:        id,
 			Listed:    w.listed,
 			Draining:  w.Draining,
-			Closed:    w.closed,
 			Reachable: w.reachable,
 			Remaining: w.leaseEnd.Sub(now),
 		})
--- a/internal/process/schedule/unreachable.go
+++ b/internal/process/schedule/unreachable.go
@@ -45,17 +45,17 @@
 }
 
 // UnreachableWorkers returns, by worker, the time until every run is over on the
-// workers that do not answer or were removed, if that has to be written to the store. From here on
-// no lease is requested of them.
+// workers that do not answer, are about to shut down or were removed, if that has to be
+// written to the store. From here on no lease is requested of them.
 func (b *Board) UnreachableWorkers(now time.Time) (waits map[string]time.Duration, due bool) {
 	state := &b.unreachable
 	waits = map[string]time.Duration{}
 	added, runsGoOn := false, false
 	for id, w := range b.workers {
-		if !w.isRecorded(now) && (!state.withheld[id] || w.reachable) {
+		if !b.isRecorded(w, now) && (!state.withheld[id] || w.reachable) {
 			continue
 		}
-		waits[id] = max(0, w.leaseEnd.Sub(now))
+		waits[id] = max(0, b.runsOverAt(w).Sub(now))
 		added = added || !state.withheld[id]
 		runsGoOn = runsGoOn || waits[id] > 0
 	}
@@ -87,9 +87,20 @@
 }
 
 // isRecorded reports whether a worker is recorded as unreachable: its connection
-// broke, or it has not answered for unreachableDelay.
-func (w *workerState) isRecorded(now time.Time) bool {
-	return w.lost && (!w.brokenAt.Before(w.lostSince) || now.Sub(w.lostSince) >= unreachableDelay)
+// broke, it has not answered for unreachableDelay, or it is about to shut down.
+func (b *Board) isRecorded(w *workerState, now time.Time) bool {
+	lost := w.lost && (!w.brokenAt.Before(w.lostSince) || now.Sub(w.lostSince) >= unreachableDelay)
+	return lost || b.needsNoLease(w, now)
+}
+
+// needsNoLease reports whether the lease of a draining worker lasts until it may shut
+// down. Load pattern: workers shut down while leaders are replaced. A later lease would
+// only delay the restart of what such a worker takes along.
+func (b *Board) needsNoLease(w *workerState, now time.Time) bool {
+	if !w.Draining || w.reportedToken != b.token {
+		return false
+	}
+	return !w.renewedAt.Add(b.config.LeaseTerm).Before(w.shutdownAt) || !now.Before(w.shutdownAt)
 }
 
 // UnreachableWritten records the outcome of a write. One that failed may still
--- a/internal/process/schedule/unreachable_test.go
+++ b/internal/process/schedule/unreachable_test.go
@@ -15,11 +15,28 @@
 	board.MarkUnreachable(id, now)
 }
 
+// runOn lets a task run on a worker.
+func runOn(board *Board, id string) {
+	board.AddJob(testJob("on-"+id, "plans", tasks(1, 1000)), nil, false, testStart, testStart)
+	others := map[string]time.Time{}
+	for other, w := range board.workers {
+		if other != id {
+			others[other], w.blockedUntil = w.blockedUntil, testStart
+		}
+	}
+	accept(board, board.Decide(testStart, true), testStart)
+	for other, until := range others {
+		board.workers[other].blockedUntil = until
+	}
+	poll(board, id, testStart)
+}
+
 // Guards against a wait for a lost worker that each successor began anew: its tasks
 // stayed down for 9.4 s after every takeover.
 func TestSuccessorsDoNotRestartTheWaitForAnUnreachableWorker(t *testing.T) {
 	first := testBoard("w0", "w1")
 	first.LeaseExtended("w1", testStart)
+	runOn(first, "w1")
 	breakConnection(first, "w1", testStart)
 	over := first.workers["w1"].leaseEnd
 	waits, due := first.UnreachableWorkers(testStart)
@@ -139,6 +156,7 @@
 // Guards against a record that is written without need.
 func TestRecordOfUnreachableWorkersIsWrittenWhenItChanges(t *testing.T) {
 	board := testBoard("w0", "w1")
+	runOn(board, "w1")
 	_, due := board.UnreachableWorkers(testStart)
 	assert.False(t, due, "all workers answer")
 	board.MarkUnreachable("w1", testStart)
--- a/internal/process/schedule/workers.go
+++ b/internal/process/schedule/workers.go
@@ -37,8 +37,6 @@
 	// reliable.
 	listed        bool
 	unlistedSince time.Time
-	// leftList is set while a reliable list is without the worker.
-	leftList bool
 	// incarnation is the Born time of the last answer, and answeredAt the address that
 	// it came from.
 	incarnation time.Time
@@ -63,10 +61,14 @@
 	// lost is set while the worker does not answer this leader, lostSince since when.
 	lost      bool
 	lostSince time.Time
-	// leaseEnd is when every run there is over if nothing more is sent.
+	// leaseEnd is when every run there is over if nothing more is sent. It is moved
+	// forward before each call that requests a lease, and back only by what proves that
+	// the leases requested before end sooner.
 	leaseEnd time.Time
-	claims   map[work.TaskKey]*claim
-	used     worker.Size
+	// renewedAt is when the newest answered call was sent that requested a lease.
+	renewedAt time.Time
+	claims    map[work.TaskKey]*claim
+	used      worker.Size
 	// idle is the number of millicores that no run is estimated to use.
 	idle int64
 	// serving counts serving runs by image, steps counts runs by step.
@@ -89,10 +91,9 @@
 	// reserved is the capacity kept for tasks, and keptForRestarts the part of it that is
 	// kept for long-running tasks that are down.
 	reserved, keptForRestarts worker.Size
-	// drainingSince is when it was first known to drain. closed is set if it
-	// has closed a connection since its last report.
-	drainingSince time.Time
-	closed        bool
+	// shutdownAt is the earliest time at which it may shut down, as far as its entries
+	// have said; zero while it does not drain.
+	shutdownAt time.Time
 	// lastRaise is when the throttle level of a filler was last raised,
 	// lastControl when all levels were last computed.
 	lastRaise, lastControl time.Time
@@ -106,12 +107,6 @@
 	headrooms []remainingHeadroom
 }
 
-// SetUnusable sets the workers whose entries in the discovery list cannot be used. Such
-// an entry says nothing of the worker: neither that it is there nor that it has left.
-func (b *Board) SetUnusable(ids map[string]bool) {
-	b.unusable = ids
-}
-
 // KnowsService reports whether a configuration or a job has named a service. Entries of
 // other services are those of another writer.
 func (b *Board) KnowsService(name string) bool {
@@ -134,11 +129,12 @@
 			w.reportedToken, w.settledToken = 0, 0
 		}
 		if !sameTime(listing.Born, w.Born) {
-			w.bornSeenAt = now
+			w.bornSeenAt, w.shutdownAt = now, time.Time{}
 		}
 		w.idle += listing.Capacity.MilliCores - w.Capacity.MilliCores
 		w.Listing = listing
-		w.listed, w.leftList = true, false
+		w.listed = true
+		w.noteShutdown(now)
 	}
 	var gone []*workerState
 	for id, w := range b.workers {
@@ -148,9 +144,7 @@
 		if w.listed || !reliable {
 			w.listed, w.unlistedSince = false, now
 		}
-		w.leftList = reliable && !b.unusable[id]
-		expired := now.After(w.leaseEnd) && now.Sub(w.unlistedSince) > b.config.ListGrace && !w.reachable
-		if expired || b.hasLeft(w) || b.isReplaced(w) {
+		if b.runsOver(w, now) && (now.Sub(w.unlistedSince) > b.config.ListGrace || b.isReplaced(w)) {
 			gone = append(gone, w)
 		}
 	}
@@ -170,11 +164,25 @@
 		fillers:       map[string]int64{},
 		leaseEnd:      b.earlierLeaseEnd(),
 	}
+	w.noteShutdown(now)
 	b.workers[listing.ID] = w
 	delete(b.unreachable.removed, listing.ID)
 	return w
 }
 
+// noteShutdown notes when the worker may shut down by its newest entry. Entries are read
+// late, and the time that is left is that of their writing, so that the earliest counts.
+func (w *workerState) noteShutdown(now time.Time) {
+	if !w.Draining {
+		w.shutdownAt = time.Time{}
+		return
+	}
+	at := now.Add(w.Remaining)
+	if w.shutdownAt.IsZero() || at.Before(w.shutdownAt) {
+		w.shutdownAt = at
+	}
+}
+
 // AddRoster adds workers that an earlier leader used: they may still run its
 // tasks although they are no longer listed.
 func (b *Board) AddRoster(roster []Listing, now time.Time) {
@@ -313,7 +321,7 @@
 // Expire releases the claims of workers whose leases are certainly over.
 func (b *Board) Expire(now time.Time) {
 	for _, w := range b.workers {
-		if len(w.claims) > 0 && !w.reachable && (now.After(w.leaseEnd) || b.hasLeft(w)) {
+		if len(w.claims) > 0 && !w.reachable && now.After(w.leaseEnd) {
 			b.releaseAll(w, now)
 		}
 	}
