Wait for the workers of all services with the jobs of earlier leaders

Cause: settled compared two ends of a history. A job counted as settled once the workers of its queue's present service were accounted for, if that is the service of its acceptance; tasks that were started while the queue was elsewhere were not considered.

Change: inherited jobs are settled once every worker is accounted for, of whatever service. The roster, which is stored before a worker is used, names all that earlier leaders can have used. The limits of organisations and the completeness of placements ask the same.

--- a/internal/process/schedule/board.go
+++ b/internal/process/schedule/board.go
@@ -6,7 +6,7 @@
 // lower tokens. A start needs no write to the store, but for that of a
 // long-running task. Before a new leader starts a task that an earlier one may
 // have started, each worker where it may be must have reported under the new
-// token, or its runs must certainly have ended: all workers of the service, or
+// token, or its runs must certainly have ended: all workers of any service, or
 // those that a record or a handover names.
 package schedule
 
--- a/internal/process/schedule/drains_simulation_test.go
+++ b/internal/process/schedule/drains_simulation_test.go
@@ -13,7 +13,7 @@
 // workTimes are the times that tasks take.
 func (sim *simulation) workTimes() []time.Duration {
 	times := []time.Duration{simulationStep, time.Second}
-	if sim.drains {
+	if sim.drains || sim.queues != nil {
 		times = append(times, testLeaseTerm)
 	}
 	return times
--- a/internal/process/schedule/placements.go
+++ b/internal/process/schedule/placements.go
@@ -79,7 +79,7 @@
 // long-running task that may be running. That is not known before all workers
 // are accounted for.
 func (b *Board) PlacementsRecorded(now time.Time) bool {
-	if len(b.unsettledServices(now)) > 0 {
+	if !b.allAccountedFor(now) {
 		return false
 	}
 	for _, j := range b.open {
--- a/internal/process/schedule/quotas.go
+++ b/internal/process/schedule/quotas.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
@@ -37,10 +36,10 @@
 		return
 	}
 	b.quotas.ClearPossible()
-	unsettled := b.unsettledServices(now)
-	b.possiblyRunning = slices.DeleteFunc(b.possiblyRunning, func(j *job) bool {
-		return b.settled(j, unsettled)
-	})
+	if b.allAccountedFor(now) {
+		b.possiblyRunning = nil
+		return
+	}
 	for _, j := range b.possiblyRunning {
 		for _, occ := range j.occurrences {
 			for _, step := range occ.steps {
@@ -50,9 +49,6 @@
 			}
 		}
 	}
-	if len(b.possiblyRunning) == 0 {
-		b.possiblyRunning = nil
-	}
 }
 
 // possibleRuns counts the tasks of an inherited step without a claim that may be
--- a/internal/process/schedule/quotas_simulation_test.go
+++ b/internal/process/schedule/quotas_simulation_test.go
@@ -47,6 +47,11 @@
 	if sim.quotas != nil {
 		out.Organisations = maps.Clone(sim.quotas.organisations)
 	}
+	for name, service := range sim.queues {
+		queue := out.Queues[name]
+		queue.Service = service
+		out.Queues[name] = queue
+	}
 	return out
 }
 
--- a/internal/process/schedule/simulation_test.go
+++ b/internal/process/schedule/simulation_test.go
@@ -158,6 +158,10 @@
 	drains bool
 	// exits counts the workers that have drained and exited.
 	exits int
+	// queues holds the services of the queues, while they are sent to other services and
+	// back; queueMoves counts that.
+	queues     map[string]string
+	queueMoves int
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -256,9 +260,9 @@
 	spec := &work.Job{
 		ID:       id,
 		Queue:    rapid.SampledFrom([]string{"quotes", "plans"}).Draw(sim.t, "queue"),
-		Service:  "workshop",
 		Accepted: sim.now,
 	}
+	spec.Service = sim.catalog().Queues[spec.Queue].Service
 	for s := range rapid.IntRange(1, 2).Draw(sim.t, "steps") {
 		step := work.Step{
 			Count: rapid.IntRange(1, 3).Draw(sim.t, "count"),
@@ -572,6 +576,9 @@
 	if sim.drains {
 		sim.injectDrain(id)
 	}
+	if sim.queues != nil {
+		sim.moveQueues()
+	}
 	switch rapid.SampledFrom([]string{"none", "none", "none", "none", "leader", "reborn", "cut", "heal", "cancel"}).Draw(sim.t, "trouble") {
 	case "leader":
 		sim.newLeader()
@@ -597,7 +604,9 @@
 // that it knows. Later ones, and those of runs that it knew to be over, are
 // dropped: docs/DESIGN.md lists that gap.
 func (sim *simulation) restart(id string) {
+	service := sim.workers[id].listing.Service
 	sim.workers[id] = newSimulatedWorker(id, sim.workers[id].listing.Address, sim.now)
+	sim.workers[id].listing.Service = service
 	if sim.previous != nil {
 		sim.previous.MarkUnreachable(id, sim.now) // its connections broke
 	}
--- a/internal/process/schedule/takeover.go
+++ b/internal/process/schedule/takeover.go
@@ -22,46 +22,37 @@
 	return b.config.LeaseTerm + time.Duration(float64(b.config.LeaseTerm)*clockDrift) + b.config.StopGrace
 }
 
-// unsettledServices returns the services with a worker that is not accounted
-// for.
-func (b *Board) unsettledServices(now time.Time) map[string]bool {
-	out := map[string]bool{}
+// allAccountedFor reports whether every worker is accounted for. Those of other services
+// than that of a job's queue count as well: the queue may have been sent to any of them
+// and back under earlier leaders, and only the newest configuration is known.
+func (b *Board) allAccountedFor(now time.Time) bool {
+	all := true
 	for _, w := range b.workers {
 		if b.accountedFor(w) {
 			continue
 		}
-		out[w.Service] = true
+		all = false
 		if !now.Before(w.leaseEnd) {
 			b.confirmAfter = later(b.confirmAfter, w.leaseEnd)
 		}
 	}
-	return out
+	return all
 }
 
-// settleInherited frees the inherited jobs of which no task can be running
+// settleInherited frees the inherited jobs once none of their tasks can be running
 // unknown to this leader.
 func (b *Board) settleInherited(now time.Time) {
-	unsettled := b.unsettledServices(now)
-	if b.removedAt.After(b.confirmedAt) {
+	if !b.allAccountedFor(now) || b.removedAt.After(b.confirmedAt) {
 		return
 	}
 	for _, j := range b.open {
-		if j.inherited == 0 || !b.settled(j, unsettled) {
-			continue
+		if j.inherited != 0 {
+			j.inherited = 0
+			b.giveUpInherited(j, now)
 		}
-		j.inherited = 0
-		b.giveUpInherited(j, now)
 	}
 }
 
-// settled reports whether no task of a job can be running unknown to this
-// leader, given the services with a worker that is not accounted for.
-func (b *Board) settled(j *job, unsettled map[string]bool) bool {
-	service := b.serviceOf(j)
-	return j.inherited == 0 || !unsettled[service] &&
-		(service == j.work.Service || len(unsettled) == 0) // the queue may have moved more than once
-}
-
 // addLastWorker records that a task has a run on a worker. Workers that are
 // accounted for are dropped.
 func (b *Board) addLastWorker(t *task, w *workerState) {
