Go through the lists of a job's steps once

Cause: the entries of a list of earlier steps were neither merged nor counted, and the critical path and the question whether a step is ready went through them for each occurrence.

Change: lists are merged when a job is decoded, also from the store. The longest chain behind each step is computed once per job, and each step remembers how far its list is done. The float of steps with a preferred rack and the time since when a task could start use the same.

Ruled out: a limit on the length of lists, which would refuse jobs that cost little; limits on occurrences, which count as tasks against 20,000.

--- a/internal/process/schedule/estimates.go
+++ b/internal/process/schedule/estimates.go
@@ -39,11 +39,16 @@
 }
 
 func (e *estimates) runTime(queue string, step *work.Step) time.Duration {
+	return e.corrected(queue, step.Estimate)
+}
+
+// corrected corrects a time that the caller of a queue has estimated.
+func (e *estimates) corrected(queue string, estimated time.Duration) time.Duration {
 	factor, ok := e.factors[queue]
 	if !ok {
 		factor = 1
 	}
-	return time.Duration(factor * float64(step.Estimate))
+	return time.Duration(factor * float64(estimated))
 }
 
 // objective returns when the job should be done to keep its full value.
@@ -57,25 +62,21 @@
 }
 
 // criticalPath is the longest sum of estimated run times along a chain of
-// dependent steps, counting only steps that still have waiting tasks.
+// dependent steps, counting only steps that still have waiting tasks. All tasks of the
+// steps that wait for such a step wait too.
 func (b *Board) criticalPath(j *job) time.Duration {
 	longest := time.Duration(0)
 	for _, occ := range j.occurrences {
 		if occ.left == 0 {
 			continue
 		}
-		finish := make([]time.Duration, len(occ.steps))
 		for i, step := range occ.steps {
-			for _, earlier := range step.spec.After {
-				finish[i] = max(finish[i], finish[earlier])
-			}
 			if step.waiting > 0 {
-				finish[i] += b.estimates.runTime(j.work.Queue, step.spec)
+				longest = max(longest, step.spec.Estimate+j.following[i])
 			}
-			longest = max(longest, finish[i])
 		}
 	}
-	return longest
+	return b.estimates.corrected(j.work.Queue, longest)
 }
 
 // taskWork is the work of one task of a step, in millicore-seconds.
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -98,6 +98,11 @@
 	// advice holds the workers that may run the step by ticket, nil if none
 	// were requested.
 	advice *advice
+	// doneBefore is how many of the steps in the list of those that must be done before
+	// are known to be done, from its begin. readyAt is when the last of them ended, once
+	// all are done.
+	doneBefore int
+	readyAt    time.Time
 	// home is the rack on which the tasks of a step that asks for one rack are
 	// kept together, and wait is set while such a step waits for a rack.
 	home string
@@ -150,6 +155,9 @@
 
 	occurrences []*occurrence
 	left        int
+	// following holds, by step, the longest sum of estimated run times along a chain of
+	// the steps that wait for it, as the caller has estimated them.
+	following []time.Duration
 	// claims counts tasks that have a claim; idleSince is when it last fell to
 	// zero.
 	claims    int
@@ -249,6 +257,7 @@
 }
 
 func (j *job) build(now, timeOfDay time.Time) {
+	j.following = j.work.Following()
 	for k := range j.work.Occurrences() {
 		occ := &occurrence{
 			due: j.arrived,
@@ -426,15 +435,21 @@
 	return occ, step, step.tasks[key.Index]
 }
 
-// ready reports whether the tasks of a step may start.
+// ready reports whether the tasks of a step may start. Load pattern: one job with long
+// lists of earlier steps, all of which would be gone through in each decision. What is
+// done stays done, so that each entry is passed once.
 func (occ *occurrence) ready(step *stepState, now time.Time) bool {
 	if occ.due.After(now) {
 		return false
 	}
-	for _, earlier := range step.spec.After {
-		if occ.steps[earlier].left > 0 {
+	for ; step.doneBefore < len(step.spec.After); step.doneBefore++ {
+		before := occ.steps[step.spec.After[step.doneBefore]]
+		if before.left > 0 {
 			return false
 		}
+		for _, t := range before.tasks {
+			step.readyAt = latestOf(step.readyAt, t.endedAt)
+		}
 	}
 	return true
 }
--- a/internal/process/schedule/preference.go
+++ b/internal/process/schedule/preference.go
@@ -160,24 +160,16 @@
 	}
 	p.measured = true
 	b, j, steps := p.board, p.job, p.occ.steps
-	// after is the longest chain of steps that follow a step.
-	after := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		whole := time.Duration(0)
-		if steps[i].left > 0 {
-			whole = b.estimates.runTime(j.work.Queue, steps[i].spec)
-		}
-		for _, earlier := range steps[i].spec.After {
-			after[earlier] = max(after[earlier], whole+after[i])
-		}
-	}
-	own := after[p.step.tasks[0].key.Step]
+	// following is the longest chain of steps that wait for a step with tasks left: none
+	// of their tasks is done.
+	following := func(step int) time.Duration { return b.estimates.corrected(j.work.Queue, j.following[step]) }
+	own := following(p.step.tasks[0].key.Step)
 	for i, step := range steps {
 		if step.left == 0 || !p.occ.ready(step, p.now) {
 			continue
 		}
 		rest := b.stepRest(j, step, step != p.step, p.now)
-		p.float = max(p.float, rest+after[i]-own)
+		p.float = max(p.float, rest+following(i)-own)
 	}
 	// The objective of a timed job counts from each occurrence.
 	objective := p.occ.due.Add(j.objective.Sub(j.arrived))
--- a/internal/process/schedule/waits.go
+++ b/internal/process/schedule/waits.go
@@ -115,17 +115,11 @@
 	return current
 }
 
-// readySince is when a task of the step may first have been started, as far as
+// readySince is when a task of a ready step may first have been started, as far as
 // this leader knows: after the acceptance of its job, the newest end of an
 // earlier step, and its own last end.
 func (occ *occurrence) readySince(step *stepState, t *task) time.Time {
-	since := occ.due
-	for _, earlier := range step.spec.After {
-		for _, before := range occ.steps[earlier].tasks {
-			since = latestOf(since, before.endedAt)
-		}
-	}
-	return latestOf(since, t.endedAt)
+	return latestOf(latestOf(occ.due, step.readyAt), t.endedAt)
 }
 
 func latestOf(a, b time.Time) time.Time {
--- a/internal/request/work/builder.go
+++ b/internal/request/work/builder.go
@@ -31,6 +31,7 @@
 	if err := step.check(len(b.job.Steps)); err != nil {
 		return err
 	}
+	step.mergeAfter()
 	if b.tasks += step.Count; b.tasks > MaxTasks {
 		return fmt.Errorf("%w: step %d brings the job to more than %d tasks", ErrInvalid, len(b.job.Steps), MaxTasks)
 	}
--- a/internal/request/work/job.go
+++ b/internal/request/work/job.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"mustardreach.example/mustardreach/internal/connection/worker"
@@ -33,7 +34,8 @@
 	// Estimate is the caller's estimate of one task's run time.
 	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
 	// After lists the indexes of earlier steps whose tasks must all be done
-	// before this step starts.
+	// before this step starts. Once the step has been added to a Builder or its job
+	// decoded, each is there once, in rising order.
 	After []int `cbor:"4,keyasint,omitempty"`
 	// Checkpoints is set if the tasks save checkpoints while they run.
 	Checkpoints bool `cbor:"5,keyasint,omitempty"`
@@ -162,6 +164,35 @@
 	return nil
 }
 
+// mergeAfter drops what is listed more than once.
+func (s *Step) mergeAfter() {
+	if !slices.IsSorted(s.After) {
+		slices.Sort(s.After)
+	}
+	if merged := slices.Compact(s.After); len(merged) < len(s.After) {
+		s.After = slices.Clone(merged) // the memory of the whole list is given back
+	}
+}
+
+// mergeAfter merges the lists of all steps.
+func (j *Job) mergeAfter() {
+	for i := range j.Steps {
+		j.Steps[i].mergeAfter()
+	}
+}
+
+// Following returns, by step, the longest sum of estimated run times along a chain of
+// the steps that wait for it.
+func (j *Job) Following() []time.Duration {
+	out := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		for _, earlier := range j.Steps[i].After {
+			out[earlier] = max(out[earlier], j.Steps[i].Estimate+out[i])
+		}
+	}
+	return out
+}
+
 // CriticalPath returns the length of the critical path: the longest sum of
 // estimated run times along a chain of dependent steps.
 func (j *Job) CriticalPath(estimate func(step *Step) time.Duration) time.Duration {
--- a/internal/request/work/job_test.go
+++ b/internal/request/work/job_test.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -196,3 +197,47 @@
 	}
 	assert.Equal(t, 5*time.Second, job.CriticalPath(func(step *Step) time.Duration { return step.Estimate }))
 }
+
+// Guards against a list that costs more than it says (review case 12): steps named often
+// were gone through each time.
+func TestListsOfStepsAreMerged(t *testing.T) {
+	long := make([]int, 130900)
+	for i := range long {
+		long[i] = 1 - i%2
+	}
+	steps := []Step{step(), step(), step()}
+	steps[2].After = long
+	spec := &Job{
+		ID:    "5c0e7a21d94b36f8",
+		Steps: steps,
+	}
+	value, err := EncodeJob(spec)
+	require.NoError(t, err)
+	decoded, err := DecodeJob(value)
+	require.NoError(t, err)
+	assert.Equal(t, []int{0, 1}, decoded.Steps[2].After)
+
+	built := &Job{}
+	builder := NewBuilder(built, func(int64) error { return nil })
+	for _, next := range steps {
+		next.After = slices.Clone(next.After)
+		require.NoError(t, builder.Add(next))
+	}
+	assert.Equal(t, []int{0, 1}, built.Steps[2].After)
+}
+
+func TestFollowingIsTheLongestChainBehindAStep(t *testing.T) {
+	lasting := func(estimate time.Duration, after ...int) Step {
+		return Step{
+			Count:    1,
+			Estimate: estimate,
+			After:    after,
+		}
+	}
+	spec := Job{
+		Steps: []Step{
+			lasting(time.Second), lasting(2 * time.Second), lasting(4*time.Second, 0), lasting(8*time.Second, 0, 1), lasting(time.Second, 2, 3),
+		},
+	}
+	assert.Equal(t, []time.Duration{9 * time.Second, 9 * time.Second, time.Second, time.Second, 0}, spec.Following())
+}
--- a/internal/request/work/progress.go
+++ b/internal/request/work/progress.go
@@ -65,6 +65,7 @@
 	if err := decMode.Unmarshal(value, job); err != nil {
 		return nil, fmt.Errorf("%w: cannot decode job record: %v", ErrInvalid, err)
 	}
+	job.mergeAfter()
 	return job, job.Check()
 }
 
--- a/internal/request/work/transfer.go
+++ b/internal/request/work/transfer.go
@@ -51,6 +51,7 @@
 	if task.Job == nil {
 		return nil, fmt.Errorf("%w: record of transferred task %s has no job", ErrInvalid, task.Key)
 	}
+	task.Job.mergeAfter()
 	if err := task.Job.Check(); err != nil {
 		return nil, err
 	}
