Bar late polls of a worker's earlier life like late starts

Callers saw: a task that ran again after it had ended (review case 11), as a poll sent before its worker restarted took effect after it.

Cause: barsEarlier counted starts only. A poll that acknowledges ends or requests a lease acts on arrival too: the next incarnation forgets ends of its own under the same numbers.

Change: such polls count like starts; the polls by which a later incarnation is admitted acknowledge nothing and request no lease.

Ruled out: numbers of ends that a worker draws at random, which the protocol does not have.

--- a/internal/process/leader/calls.go
+++ b/internal/process/leader/calls.go
@@ -61,7 +61,7 @@
 	}
 	if c.start != nil {
 		c.lease = t.leaseFor(workerLink, now) // no other order requests a lease
-		t.fences.startSent(worker, c.lease.Token)
+		t.fences.sent(worker, c.lease.Token)
 	}
 	t.waiting = append(t.waiting, c)
 	t.dispatch(now)
--- a/internal/process/leader/fences.go
+++ b/internal/process/leader/fences.go
@@ -16,15 +16,16 @@
 type fence struct {
 	// token is sent with the calls to the worker, unless the term's is higher.
 	token int64
-	// started is the highest token that was sent with a start; zero without one. A
-	// copy of that start may still arrive, also at a later incarnation of the
-	// worker, which knows neither the run nor a stop of it.
-	started int64
+	// acted is the highest token that was sent with a call which acts on arrival: a
+	// start, or a poll that acknowledges ends or requests a lease; zero without one. A
+	// copy of that call may still arrive, also at a later incarnation of the worker. It
+	// knows neither the run nor a stop of it, and numbers its own ends from one.
+	acted int64
 }
 
 // fences holds the fencing tokens of the workers. A report of another incarnation of
-// a worker is used only if its poll had a higher token than every start that was sent
-// before: from then on that incarnation refuses all copies of them. Tokens
+// a worker is used only if its poll had a higher token than every call that was sent
+// before and acts on arrival: from then on that incarnation refuses all copies of them. Tokens
 // are revisions of the term's own commits, which are above the tokens of all earlier
 // leaders and below those of all later ones.
 type fences struct {
@@ -43,10 +44,10 @@
 	return max(t.token, t.fences.workers[id].token)
 }
 
-// startSent records the token of a start.
-func (f *fences) startSent(id string, token int64) {
+// sent records the token of a call that acts on arrival.
+func (f *fences) sent(id string, token int64) {
 	state := f.workers[id]
-	state.started = max(state.started, token)
+	state.acted = max(state.acted, token)
 	f.set(id, state)
 }
 
@@ -58,9 +59,9 @@
 }
 
 // barsEarlier reports whether a worker that has accepted a call with the token
-// refuses the copies of all earlier starts.
+// refuses the copies of all earlier calls that act on arrival.
 func (f *fences) barsEarlier(id string, token int64) bool {
-	return token > f.workers[id].started
+	return token > f.workers[id].acted
 }
 
 // committed records a commit of the term.
@@ -68,15 +69,15 @@
 	f.newest = max(f.newest, revision)
 }
 
-// raiseToken makes the token of a worker higher than those of all starts that were
-// sent to it: at once if the term has made a commit since the last of them, and
+// raiseToken makes the token of a worker higher than those of all calls that were sent
+// to it and act on arrival: at once if the term has made a commit since the last of them, and
 // otherwise when it has made one for this.
 func (t *term) raiseToken(id string, now time.Time) {
 	f := &t.fences
 	state := f.workers[id]
 	switch {
 	case f.barsEarlier(id, t.tokenOf(id)):
-	case f.newest > state.started:
+	case f.newest > state.acted:
 		state.token = f.newest
 		f.set(id, state)
 	case !f.committing && !t.unoccupied && now.Sub(f.triedAt) >= fenceRetryGap:
--- a/internal/process/leader/fences_test.go
+++ b/internal/process/leader/fences_test.go
@@ -29,22 +29,23 @@
 	return competitionStart.Add(time.Duration(w.incarnation) * time.Second)
 }
 
-// startCopy is a start on its way to a worker.
-type startCopy struct {
+// callCopy is a start, or a poll that acknowledges ends or requests a lease, on its way to
+// a worker.
+type callCopy struct {
 	worker string
 	token  int64
-	// incarnation is the one that the leader knew when it sent the start.
+	// incarnation is the one that the leader knew when it sent the call.
 	incarnation int
 }
 
-// fencing drives the links of a term by hand: starts arrive late or never, polls get
+// fencing drives the links of a term by hand: calls arrive late or never, polls get
 // lost, workers restart and leave the list, commits fail, and leaders follow
 // each other.
 type fencing struct {
 	t       *rapid.T
 	leader  *Leader
 	workers map[string]*fencedWorker
-	copies  []startCopy
+	copies  []callCopy
 	// revision is that of the store, failing is set while it refuses commits.
 	revision int64
 	failing  bool
@@ -137,7 +138,7 @@
 		},
 	}, id, f.now)
 	for _, order := range t.waiting {
-		f.copies = append(f.copies, startCopy{
+		f.copies = append(f.copies, callCopy{
 			worker:      id,
 			token:       order.lease.Token,
 			incarnation: f.workers[id].heardOf,
@@ -146,7 +147,7 @@
 	t.waiting = nil
 }
 
-// arrive delivers one of the starts, in any order. An incarnation that the leader has
+// arrive delivers one of the calls, in any order. An incarnation that the leader has
 // heard of must refuse those that were sent before.
 func (f *fencing) arrive() {
 	if len(f.copies) == 0 {
@@ -161,7 +162,7 @@
 	}
 	worker.token = late.token
 	if worker.heardOf == worker.incarnation {
-		require.Equal(f.t, worker.incarnation, late.incarnation, "%s accepts a start with token %d that was sent before it restarted", late.worker, late.token)
+		require.Equal(f.t, worker.incarnation, late.incarnation, "%s accepts a call with token %d that was sent before it restarted", late.worker, late.token)
 	}
 }
 
@@ -174,6 +175,13 @@
 		polled := t.links[id]
 		select {
 		case poll := <-polled.polls:
+			if poll.LastSeen > 0 || poll.Until > 0 {
+				f.copies = append(f.copies, callCopy{
+					worker:      id,
+					token:       poll.Token,
+					incarnation: f.workers[id].heardOf,
+				})
+			}
 			f.answer(id, polled, poll, answered())
 		default:
 		}
@@ -264,11 +272,12 @@
 	f.failing = failing
 }
 
-// Guards against a copy of a start that takes effect at a later incarnation of its
-// worker, which knows no stop and no end of the run: a done task ran again (review
-// case 7). Random sequences of late copies, lost polls, restarts, failed commits and
-// changes of leader.
-func TestCopiesOfStartsDoNotReachLaterIncarnations(t *testing.T) {
+// Guards against a copy of a call that takes effect at a later incarnation of its worker.
+// It knows no stop and no end of a run that it starts: a done task ran again (review case
+// 7). It forgets ends of its own for those that a poll acknowledges (review case 11).
+// Random sequences of late copies, lost polls, restarts, failed commits and changes of
+// leader.
+func TestCopiesOfCallsDoNotReachLaterIncarnations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFencing(t)
 		for range 80 {
--- a/internal/process/leader/links.go
+++ b/internal/process/leader/links.go
@@ -28,7 +28,7 @@
 	// first report.
 	incarnation time.Time
 	// restarted is set while another incarnation answers whose reports cannot be used
-	// yet: copies of earlier starts could still arrive there.
+	// yet: copies of earlier calls could still act there.
 	restarted bool
 	// clock is the worker's steady clock at the time clockAt; zero if unknown.
 	clock   time.Duration
@@ -114,9 +114,12 @@
 		lease := Lease{
 			Token: token,
 		}
-		if !workerLink.lost {
+		if !workerLink.lost && !workerLink.restarted {
 			lease = t.leaseFor(workerLink, now)
 		}
+		if lastSeen > 0 || lease.Until > 0 {
+			t.fences.sent(id, token)
+		}
 		workerLink.busy = true
 		workerLink.polls <- Poll{
 			Lease:    lease,
@@ -223,7 +226,7 @@
 }
 
 // admit reports whether a report can be used: it is from the same incarnation as the
-// one before, or from one that refuses the copies of all earlier starts.
+// one before, or from one that refuses the copies of all earlier calls that act.
 func (k *link) admit(poll Poll, born time.Time) bool {
 	if !k.incarnation.Equal(born) && !k.term.fences.barsEarlier(k.target.ID, poll.Token) {
 		if !k.restarted {
