Keep due times and chains of estimates from overflowing

Callers saw: a weekly job of 20,000 occurrences, first due in an hour, starts thousands of them as soon as it is accepted.

Cause: the time from the first occurrence to a later one overflows after 292 years.

Change: work.Job.DueAfter ends at the longest duration. Chains of estimated run times, and estimates corrected by what was learned, end at ten years.

Ruled out: refusing such jobs, whose first occurrences can be served.

--- a/internal/process/schedule/estimates.go
+++ b/internal/process/schedule/estimates.go
@@ -48,7 +48,7 @@
 	if !ok {
 		factor = 1
 	}
-	return time.Duration(factor * float64(estimated))
+	return time.Duration(min(factor*float64(estimated), float64(work.MaxChain)))
 }
 
 // objective returns when the job should be done to keep its full value.
@@ -72,7 +72,7 @@
 		}
 		for i, step := range occ.steps {
 			if step.waiting > 0 {
-				longest = max(longest, step.spec.Estimate+j.following[i])
+				longest = max(longest, min(work.MaxChain, step.spec.Estimate)+j.following[i])
 			}
 		}
 	}
--- a/internal/process/schedule/jobs.go
+++ b/internal/process/schedule/jobs.go
@@ -263,7 +263,7 @@
 			due: j.arrived,
 		}
 		if j.work.Timed() {
-			due := j.work.FirstRun.Add(time.Duration(k) * j.work.Interval)
+			due := j.work.FirstRun.Add(j.work.DueAfter(k))
 			occ.due = now.Add(due.Sub(timeOfDay))
 		}
 		for s := range j.work.Steps {
--- a/internal/request/work/job.go
+++ b/internal/request/work/job.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +20,12 @@
 	// MaxTasks limits the memory that one job can use on a host. It counts the
 	// tasks of all occurrences.
 	MaxTasks = 20000
+	// MaxEstimate limits the estimated run time of a task, and MaxInterval the time
+	// between two occurrences, of new jobs. Records of an earlier release may have more.
+	MaxEstimate = 365 * 24 * time.Hour
+	MaxInterval = 100 * MaxEstimate
+	// MaxChain is the longest chain of estimated run times that is told from longer ones.
+	MaxChain = 10 * MaxEstimate
 )
 
 // ErrInvalid is returned for a job, task key or record that is malformed. A job
@@ -106,6 +113,15 @@
 	return max(1, j.Repeat)
 }
 
+// DueAfter returns how long after its first one an occurrence is due. Occurrences that
+// are due later than a Duration can tell are due then.
+func (j *Job) DueAfter(occurrence int) time.Duration {
+	if j.Interval > 0 && int64(occurrence) > math.MaxInt64/int64(j.Interval) {
+		return math.MaxInt64
+	}
+	return time.Duration(occurrence) * j.Interval
+}
+
 // Timed reports whether the job's occurrences wait for due times.
 func (j *Job) Timed() bool {
 	return j.Repeat > 0
@@ -187,7 +203,7 @@
 	out := make([]time.Duration, len(j.Steps))
 	for i := len(j.Steps) - 1; i >= 0; i-- {
 		for _, earlier := range j.Steps[i].After {
-			out[earlier] = max(out[earlier], j.Steps[i].Estimate+out[i])
+			out[earlier] = min(MaxChain, max(out[earlier], min(MaxChain, j.Steps[i].Estimate)+out[i]))
 		}
 	}
 	return out
@@ -203,7 +219,7 @@
 		for _, earlier := range step.After {
 			finish[i] = max(finish[i], finish[earlier])
 		}
-		finish[i] += estimate(step)
+		finish[i] = min(MaxChain, finish[i]+min(MaxChain, estimate(step)))
 		longest = max(longest, finish[i])
 	}
 	return longest
--- a/internal/request/work/job_test.go
+++ b/internal/request/work/job_test.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -241,3 +242,34 @@
 	}
 	assert.Equal(t, []time.Duration{9 * time.Second, 9 * time.Second, time.Second, time.Second, 0}, spec.Following())
 }
+
+// Guards against occurrences that start at once because their due time overflows (review,
+// beside the cases): every week, 20,000 times.
+func TestDueTimesBeyondThreeCenturiesDoNotOverflow(t *testing.T) {
+	weekly := Job{
+		Repeat:   MaxTasks,
+		Interval: 7 * 24 * time.Hour,
+	}
+	assert.Equal(t, 14*24*time.Hour, weekly.DueAfter(2))
+	for occurrence := range MaxTasks - 1 {
+		require.LessOrEqual(t, weekly.DueAfter(occurrence), weekly.DueAfter(occurrence+1))
+	}
+	assert.EqualValues(t, math.MaxInt64, weekly.DueAfter(MaxTasks-1))
+}
+
+// Guards against a chain of long estimates that overflows: its job would go before others.
+func TestChainsOfLongEstimatesDoNotOverflow(t *testing.T) {
+	spec := Job{}
+	for i := range 1000 {
+		next := Step{
+			Count:    1,
+			Estimate: math.MaxInt64,
+		}
+		if i > 0 {
+			next.After = []int{i - 1}
+		}
+		spec.Steps = append(spec.Steps, next)
+	}
+	assert.EqualValues(t, MaxChain, spec.CriticalPath(func(step *Step) time.Duration { return step.Estimate }))
+	assert.EqualValues(t, MaxChain, spec.Following()[0])
+}
