--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 .PHONY: soak
-soak: ## run the fault soak of the real program: SEEDS="1 2 3" FAULTS=20s MIX=unplanned, planned, all or deployment CROWD=true
+soak: ## run the fault soak of the real program: SEEDS="1 2 3" FAULTS=20s MIX=unplanned, planned, all, deployment, drains or moves CROWD=true
 	for seed in $(SEEDS); do CGO_ENABLED=1 $(GO) test -count=1 ./platform/soak -seed $$seed -faults $(FAULTS) -mix $(MIX) -crowd=$(CROWD) || exit 1; done
 
 .PHONY: lint
